--- /dev/null
+++ b/internal/app/emit_front.go
@@ -0,0 +1,17 @@
+package app
+
+import (
+	"context"
+
+	"celeryhook.example/celeryhook/internal/front"
+	"celeryhook.example/celeryhook/internal/grant"
+)
+
+func (p *Process) emitFront(ctx context.Context, o front.Output) {
+	switch o := o.(type) {
+	case front.Answer:
+		o.To <- o.Decision
+	case front.Drained:
+		_ = p.grants.Put(ctx, grant.Drained{Target: o.Target, Ranges: o.Ranges})
+	}
+}
--- /dev/null
+++ b/internal/app/emit_grant.go
@@ -0,0 +1,33 @@
+package app
+
+import (
+	"context"
+	"errors"
+
+	"celeryhook.example/celeryhook/internal/front"
+	"celeryhook.example/celeryhook/internal/grant"
+	"celeryhook.example/celeryhook/internal/target"
+)
+
+func (p *Process) emitGrant(ctx context.Context, o grant.Output) {
+	switch o := o.(type) {
+	case grant.SendOrder:
+		p.submit(ctx, p.targetPool.Submit, func(ctx context.Context) { p.sendOrder(ctx, o) })
+	case grant.Changed:
+		_ = p.fronts.Put(ctx, front.GrantChanged{Target: o.Target, View: o.View})
+	case grant.Lost:
+		p.log.Info("target lost", "target", o.Target, "token", o.Token.String())
+	case grant.Superseded:
+		p.log.Info("grant superseded", "target", o.Target, "token", o.Token.String())
+	}
+}
+
+func (p *Process) sendOrder(ctx context.Context, o grant.SendOrder) {
+	ctx, cancel := context.WithTimeout(ctx, grant.OrderTimeout)
+	defer cancel()
+	done := grant.OrderDone{Target: o.Target, Order: o.Order, Sent: p.clock()}
+	done.Reply, done.Err = p.targets.Order(ctx, o.Address, o.Order)
+	done.Received = p.clock()
+	done.NotSent = errors.Is(done.Err, target.ErrNotSent)
+	_ = p.grants.Wait(context.WithoutCancel(ctx), done)
+}
--- /dev/null
+++ b/internal/app/emit_membership.go
@@ -0,0 +1,71 @@
+package app
+
+import (
+	"context"
+
+	"celeryhook.example/celeryhook/internal/coordinate"
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/membership"
+	"celeryhook.example/celeryhook/internal/platformlog"
+	"celeryhook.example/celeryhook/internal/route"
+)
+
+func (p *Process) emitMembership(ctx context.Context, o membership.Output) {
+	switch o := o.(type) {
+	case membership.Send:
+		p.submit(ctx, p.peerPool.Submit, func(ctx context.Context) { p.heartbeat(ctx, o) })
+	case membership.List:
+		p.submit(ctx, p.logPool.Submit, p.listVMs)
+	case membership.Reply:
+		o.To <- o.Info
+	case membership.Changed:
+		addresses := make(map[core.VM]string, len(o.View.Members))
+		for id, m := range o.View.Members {
+			addresses[id] = m.Address
+		}
+		_ = p.coordinator.Put(ctx, coordinate.ViewChanged{View: o.View})
+		_ = p.routes.Put(ctx, route.AddressesChanged{Addresses: addresses})
+	case membership.Behind:
+		p.submit(ctx, p.peerPool.Submit, func(ctx context.Context) { p.fetch(ctx, o) })
+	}
+}
+
+func (p *Process) listVMs(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	vms, err := p.platform.VMs(ctx)
+	if err != nil {
+		return
+	}
+	listed := make([]membership.Info, len(vms))
+	for i, vm := range vms {
+		listed[i] = membership.Info{VM: vm.ID, FailureDomain: vm.FailureDomain, Address: vm.Address, Leaving: vm.Leaving, Capacity: 1}
+	}
+	_ = p.members.Put(ctx, membership.Listed{VMs: listed})
+}
+
+func (p *Process) heartbeat(ctx context.Context, o membership.Send) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	info, err := p.peers.Exchange(ctx, o.Address, o.Info)
+	if err != nil {
+		_ = p.members.Put(ctx, membership.Silent{VM: o.VM})
+		return
+	}
+	_ = p.members.Put(ctx, membership.Heard{Info: info})
+}
+
+func (p *Process) fetch(ctx context.Context, o membership.Behind) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	fetched, err := p.peers.Fetch(ctx, o.Address, o.Self.LogOffset, o.Self.Maps)
+	if err != nil {
+		return
+	}
+	if fetched.Folded != nil {
+		_ = p.reader.Put(ctx, platformlog.PeerState{Folded: *fetched.Folded})
+	}
+	for _, m := range fetched.Maps {
+		_ = p.mapHeard(ctx, m)
+	}
+}
--- /dev/null
+++ b/internal/app/emit_reader.go
@@ -0,0 +1,56 @@
+package app
+
+import (
+	"context"
+
+	"celeryhook.example/celeryhook/internal/coordinate"
+	"celeryhook.example/celeryhook/internal/platformlog"
+	"celeryhook.example/celeryhook/internal/policy"
+	"celeryhook.example/celeryhook/internal/route"
+)
+
+func (p *Process) emitReader(ctx context.Context, o platformlog.Output) {
+	switch o := o.(type) {
+	case platformlog.Read:
+		p.submit(ctx, p.logPool.Submit, func(ctx context.Context) { p.readLog(ctx, o) })
+	case platformlog.Changed:
+		p.logChanged(ctx, o.Folded)
+	case platformlog.Fresh:
+		_ = p.coordinator.Put(ctx, coordinate.LogFresh{Began: o.Began})
+	case platformlog.Skipped:
+		p.log.Info("log record skipped", "offset", o.Offset, "reason", o.Err.Error())
+	case platformlog.Gap:
+		p.log.Info("log records expired before they were read", "wanted", o.Wanted, "first", o.First)
+	}
+}
+
+func (p *Process) submit(ctx context.Context, to func(context.Context, func(context.Context)) error, task func(context.Context)) {
+	if err := to(ctx, task); err != nil {
+		p.log.V(1).Info("task refused", "reason", err.Error())
+	}
+}
+
+func (p *Process) readLog(ctx context.Context, r platformlog.Read) {
+	began := p.clock()
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+rpcTimeout)
+	defer cancel()
+	page, err := p.platform.Read(ctx, r.From, r.Limit, r.Wait)
+	if err != nil {
+		_ = p.reader.Put(ctx, platformlog.ReadFailed{Err: err})
+		return
+	}
+	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, Page: page})
+}
+
+func (p *Process) logChanged(ctx context.Context, f platformlog.Folded) {
+	if f.PolicyVersion == 0 {
+		return
+	}
+	parsed, err := policy.Parse([]byte(f.Document))
+	if err != nil {
+		p.log.Error(err, "policy in force can't be read", "version", f.PolicyVersion)
+		return
+	}
+	_ = p.coordinator.Put(ctx, coordinate.LogChanged{Folded: f, Policy: parsed})
+	_ = p.routes.Put(ctx, route.PolicyChanged{Policy: parsed, Folded: f})
+}
--- /dev/null
+++ b/internal/app/maps.go
@@ -0,0 +1,19 @@
+package app
+
+import (
+	"context"
+
+	"celeryhook.example/celeryhook/internal/coordinate"
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/route"
+)
+
+// mapHeard hands a map to the duties that use maps.
+func (p *Process) mapHeard(ctx context.Context, m *core.RangeMap) error {
+	if m.FailureDomain == p.settings.FailureDomain {
+		if err := p.coordinator.Wait(ctx, coordinate.MapHeard{Map: m}); err != nil {
+			return err
+		}
+	}
+	return p.routes.Wait(ctx, route.MapChanged{Map: m})
+}
