--- a/internal/policy/homes.go
+++ b/internal/policy/homes.go
@@ -1,6 +1,9 @@
 package policy
 
 import (
+	"maps"
+	"slices"
+
 	"celeryhook.example/celeryhook/internal/core"
 )
 
@@ -10,6 +13,9 @@
 // none.
 func (p *Policy) Home(r core.RangeID, in func(core.FailureDomain) bool) (core.FailureDomain, bool) {
 	if r.HotKey != 0 {
+		if p.Services[r.Service].Ranges == 0 {
+			return "", false
+		}
 		// A hot key stays in the failure domain of the range that it came from.
 		r = core.RangeOf(r.Service, r.HotKey, p.Services[r.Service].Ranges)
 	}
@@ -34,11 +40,20 @@
 // DomainCapacity returns the capacity of a service's targets in a failure
 // domain, without those that are leaving.
 func (p *Policy) DomainCapacity(s core.Service, d core.FailureDomain) float64 {
-	var sum float64
-	for _, t := range p.Targets {
-		if t.Service == s && t.FailureDomain == d && !t.Leaving {
-			sum += t.Capacity()
+	if p.capacity == nil {
+		return capacities(p.Targets)[place{s, d}]
+	}
+	return p.capacity[place{s, d}]
+}
+
+// capacities adds up the targets in the order of their ids: sums of floats
+// depend on the order, and all VMs must find the same homes.
+func capacities(targets map[core.Target]Target) map[place]float64 {
+	out := make(map[place]float64)
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		if t := targets[id]; !t.Leaving {
+			out[place{t.Service, t.FailureDomain}] += t.Capacity()
 		}
 	}
-	return sum
+	return out
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -45,10 +45,36 @@
 	Control        Control
 	Services       map[core.Service]Service
 	Targets        map[core.Target]Target
-	Routes         []Route
-	Branches       map[core.Branch]Branch
+	// Routes are ordered by name.
+	Routes   []Route
+	Branches map[core.Branch]Branch
+	// Deviations bounds what branches may override; a limit that isn't listed
+	// may not be overridden.
+	Deviations map[LimitName]Bounds
+
+	// capacity caches DomainCapacity, which every lookup needs. It is nil in a
+	// policy that wasn't parsed.
+	capacity map[place]float64
 }
 
+// place is a service in a failure domain.
+type place struct {
+	service core.Service
+	domain  core.FailureDomain
+}
+
+// LimitName names a limit of a service, as service.limit.
+type LimitName struct {
+	Service core.Service
+	Limit   string
+}
+
+func (n LimitName) String() string { return string(n.Service) + "." + n.Limit }
+
+// Bounds are the least and the greatest value of a limit, in its unit;
+// durations are in nanoseconds.
+type Bounds struct{ Min, Max float64 }
+
 // Control holds the limits of the system's own decisions.
 type Control struct {
 	// Candidates is how many VMs may succeed a coordinator, 0 to 4.
@@ -69,6 +95,10 @@
 	HotShare float64
 	// HotKeys bounds the number of such keys in a failure domain.
 	HotKeys int
+	// LogRetention and LogRecords are how long, and how many, records the
+	// platform keeps at least.
+	LogRetention time.Duration
+	LogRecords   int
 }
 
 // Service is a group of targets that own the same kind of keys.
@@ -148,6 +178,8 @@
 	Name core.Branch
 	// Limits holds the whole limits of each service for which the branch deviates.
 	Limits map[core.Service]Limits
+	// Overrides lists the limits that the branch sets, in order.
+	Overrides []LimitName
 }
 
 // LimitsFor returns the limits of a service for a branch.
