--- a/internal/app/emit_reader.go
+++ b/internal/app/emit_reader.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 
+	"github.com/rcrowley/go-metrics"
+
 	"celeryhook.example/celeryhook/internal/coordinate"
 	"celeryhook.example/celeryhook/internal/platformlog"
-	"celeryhook.example/celeryhook/internal/policy"
 	"celeryhook.example/celeryhook/internal/route"
 )
 
@@ -14,13 +15,17 @@
 	case platformlog.Read:
 		p.submit(ctx, p.logPool.Submit, func(ctx context.Context) { p.readLog(ctx, o) })
 	case platformlog.Changed:
-		p.logChanged(ctx, o.Folded)
+		p.logChanged(ctx, o)
 	case platformlog.Fresh:
 		_ = p.coordinator.Put(ctx, coordinate.LogFresh{Began: o.Began})
 	case platformlog.Skipped:
-		p.log.Info("log record skipped", "offset", o.Offset, "reason", o.Err.Error())
+		metrics.GetOrRegisterCounter("platformlog.skipped."+platformlog.Reason(o.Err), nil).Inc(1)
+		p.log.V(1).Info("log record skipped", "offset", o.Offset, "reason", o.Err.Error())
 	case platformlog.Gap:
+		metrics.GetOrRegisterCounter("platformlog.gaps", nil).Inc(1)
 		p.log.Info("log records expired before they were read", "wanted", o.Wanted, "first", o.First)
+	case platformlog.Closed:
+		p.log.Info("state taken from a snapshot of the log", "offset", o.Offset)
 	}
 }
 
@@ -39,18 +44,13 @@
 		_ = p.reader.Put(ctx, platformlog.ReadFailed{Err: err})
 		return
 	}
-	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, Page: page})
+	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, From: r.From, Page: page})
 }
 
-func (p *Process) logChanged(ctx context.Context, f platformlog.Folded) {
-	if f.PolicyVersion == 0 {
-		return
-	}
-	parsed, err := policy.Parse([]byte(f.Document))
-	if err != nil {
-		p.log.Error(err, "policy in force can't be read", "version", f.PolicyVersion)
+func (p *Process) logChanged(ctx context.Context, c platformlog.Changed) {
+	if c.Policy == nil {
 		return
 	}
-	_ = p.coordinator.Put(ctx, coordinate.LogChanged{Folded: f, Policy: parsed})
-	_ = p.routes.Put(ctx, route.PolicyChanged{Policy: parsed, Folded: f})
+	_ = p.coordinator.Put(ctx, coordinate.LogChanged{Folded: c.Folded, Policy: c.Policy})
+	_ = p.routes.Put(ctx, route.PolicyChanged{Policy: c.Policy, Folded: c.Folded})
 }
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -53,6 +54,9 @@
 	ErrUnavailable = errors.New("platformlog: platform unavailable")
 	// ErrRefused says that the platform refused a request and did nothing.
 	ErrRefused = errors.New("platformlog: platform refused the request")
+	// ErrNotSent says that no connection was made, so that the platform did
+	// nothing. It comes with ErrUnavailable.
+	ErrNotSent = errors.New("platformlog: request was not sent")
 )
 
 // maxAnswerBytes bounds what is read of one answer of the platform.
@@ -104,7 +108,7 @@
 	}
 	res, err := l.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+		return unreachable(method, path, err)
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
@@ -121,3 +125,11 @@
 	}
 	return nil
 }
+
+func unreachable(method, path string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w: %s %s: %w", ErrUnavailable, ErrNotSent, method, path, err)
+	}
+	return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
+}
--- a/internal/platformlog/fold.go
+++ b/internal/platformlog/fold.go
@@ -58,6 +58,7 @@
 	ErrAuthor   = errors.New("platformlog: record's author may not write it")
 	ErrDocument = errors.New("platformlog: record's policy is refused")
 	ErrOrder    = errors.New("platformlog: record is older than the state")
+	ErrState    = errors.New("platformlog: folded state is invalid")
 )
 
 // Apply returns the state after a record. On an error the state differs only
@@ -163,7 +164,7 @@
 }
 
 func (f Folded) applyReleased(r Record) (Folded, error) {
-	if r.Base != f.Delegation.Number {
+	if r.Base == 0 || r.Base != f.Delegation.Number {
 		return f, fmt.Errorf("%w: release for delegation %d, in force %d", ErrStale, r.Base, f.Delegation.Number)
 	}
 	released := maps.Clone(f.Delegation.Released)
@@ -176,16 +177,11 @@
 }
 
 func (f Folded) applySnapshot(offset uint64, r Record) (Folded, error) {
-	if r.Folded == nil {
-		return f, fmt.Errorf("%w: snapshot without state", ErrRecord)
-	}
-	// A reader that has state knows at least as much as the snapshot.
-	if f.PolicyVersion == 0 && len(f.Terms) == 0 {
-		next := *r.Folded
-		next.Offset = offset
-		next.SnapshotOffset = offset
-		return next, nil
+	if err := r.checkSnapshot(offset); err != nil {
+		return f, err
 	}
+	// This state knows at least as much: it was folded from the same records.
+	// Replay takes the state of a snapshot where records are missing.
 	f.SnapshotOffset = offset
 	return f, nil
 }
--- /dev/null
+++ b/internal/platformlog/log_test.go
@@ -0,0 +1,288 @@
+package platformlog
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/policy"
+)
+
+// document returns a policy with a control value that tells it from others.
+func document(remember int) string {
+	return fmt.Sprintf(`
+[deployment]
+name = test
+failure_domains = north, south
+[control]
+remember = %ds
+log_retention = 1m
+log_records = 30
+[service s]
+[target t]
+service = s
+failure_domain = north
+address = 127.0.0.1:7000
+[route r]
+path = /
+service = s
+`, 60+remember%3000)
+}
+
+// testLog is a log with retention.
+type testLog struct {
+	entries []Entry
+	end     uint64
+}
+
+func (l *testLog) append(r Record) uint64 {
+	data, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return l.appendData(data)
+}
+
+func (l *testLog) appendData(data []byte) uint64 {
+	l.end++
+	l.entries = append(l.entries, Entry{Offset: l.end, Data: data})
+	return l.end
+}
+
+func (l *testLog) expire(n int) { l.entries = l.entries[min(max(n, 0), len(l.entries)):] }
+
+func (l *testLog) page(from uint64, limit int) Page {
+	p := Page{First: l.end + 1}
+	if len(l.entries) > 0 {
+		p.First = l.entries[0].Offset
+	}
+	for _, e := range l.entries {
+		if e.Offset >= from && len(p.Entries) < limit {
+			p.Entries = append(p.Entries, e)
+		}
+	}
+	return p
+}
+
+// catchUp reads until nothing changes.
+func catchUp(r *Replay, l *testLog) {
+	for range 50 {
+		from := r.From()
+		r.Page(from, l.page(from, 7))
+	}
+}
+
+// drawRecord returns a record that may be valid, stale, repeated or invalid.
+func drawRecord(t *rapid.T, states []Folded, serial int) Record {
+	f := states[len(states)-1]
+	r := Record{ID: fmt.Sprint("id-", serial), Author: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "author")}
+	r.Kind = rapid.SampledFrom([]Kind{KindPolicy, KindTerm, KindDomain, KindReleased, KindSnapshot}).Draw(t, "kind")
+	r.FailureDomain = rapid.SampledFrom([]core.FailureDomain{"north", "south"}).Draw(t, "domain")
+	r.Base = f.versionFor(r) - uint64(rapid.IntRange(0, 5).Draw(t, "stale")/5)
+	if rapid.IntRange(0, 9).Draw(t, "repeat") == 0 && serial > 0 {
+		r.ID = fmt.Sprint("id-", serial-1)
+	}
+	switch r.Kind {
+	case KindPolicy:
+		r.Document = document(serial)
+	case KindTerm:
+		r.Coordinator, r.Candidates = "a", []core.VM{"b"}
+	case KindDomain:
+		r.State = rapid.SampledFrom([]DomainState{DomainIn, DomainOut, DomainLost, "gone"}).Draw(t, "state")
+	case KindSnapshot:
+		// A snapshot may be written while other records are.
+		r.Folded = &states[max(0, len(states)-rapid.IntRange(1, 4).Draw(t, "behind"))]
+	}
+	return r
+}
+
+// A reader that starts late, or that lost records to the retention, must reach
+// the same state as one that read everything, or stay where it was.
+func TestReplayAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &testLog{}
+		var whole, lagging Replay
+		states := []Folded{{}}
+		for i := range rapid.IntRange(1, 40).Draw(t, "records") {
+			log.append(drawRecord(t, states, i))
+			catchUp(&whole, log)
+			states = append(states, whole.Folded())
+			switch rapid.IntRange(0, 5).Draw(t, "then") {
+			case 0:
+				log.expire(rapid.IntRange(0, 3).Draw(t, "expire"))
+			case 1:
+				before := lagging.Folded()
+				catchUp(&lagging, log)
+				after := lagging.Folded()
+				if after.Offset < before.Offset || after.PolicyVersion < before.PolicyVersion {
+					t.Fatalf("went back from %d to %d", before.Offset, after.Offset)
+				}
+			}
+		}
+		var late Replay
+		for _, r := range []*Replay{&lagging, &late} {
+			catchUp(r, log)
+			if !r.InGap() && !same(r.Folded(), whole.Folded()) {
+				t.Fatalf("states differ:\n%+v\n%+v", r.Folded(), whole.Folded())
+			}
+			if ok, err := r.Adopt(whole.Folded()); err != nil || (!ok && !same(r.Folded(), whole.Folded())) {
+				t.Fatalf("a peer's state isn't taken: %v", err)
+			}
+		}
+	})
+}
+
+// same compares states in their form in the log, where empty and nil are alike.
+func same(a, b Folded) bool {
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	if errX != nil || errY != nil {
+		return false
+	}
+	var u, v Folded
+	_ = json.Unmarshal(x, &u)
+	_ = json.Unmarshal(y, &v)
+	return reflect.DeepEqual(u, v)
+}
+
+// Snapshots that are appended when the clock says so must keep the state
+// readable for a new VM, whatever the retention drops.
+func TestSnapshotsOutliveRetention(t *testing.T) {
+	is := is.New(t)
+	log, clock, reader, now := &testLog{}, SnapshotClock{}, Replay{}, core.Instant(0)
+	log.append(Record{Kind: KindPolicy, ID: "p", Document: document(1)})
+	log.append(Record{Kind: KindTerm, ID: "t", Author: "a", FailureDomain: "north", Coordinator: "a"})
+	p, err := policy.Parse([]byte(document(1)))
+	is.NoErr(err)
+	snapshots := 0
+	for i := range 400 {
+		now = now.Add(time.Second)
+		log.appendData([]byte(fmt.Sprint("noise ", i)))
+		log.expire(len(log.entries) - p.Control.LogRecords)
+		catchUp(&reader, log)
+		var record *Record
+		if clock, record = clock.Step(now, "a", reader.Folded(), p); record != nil {
+			snapshots++
+			log.append(*record)
+		}
+		_, other := SnapshotClock{}.Step(now, "b", reader.Folded(), p)
+		is.True(other == nil) // only one VM appends snapshots
+		var fresh Replay
+		catchUp(&fresh, log)
+		is.True(!fresh.InGap())
+		is.Equal(fresh.Folded().Document, document(1))
+	}
+	// Ten records, or 20 s with a record each second, are a third.
+	is.True(snapshots >= 36 && snapshots <= 45)
+}
+
+// A gap must not be folded over: a record that builds on a state that the
+// reader doesn't know could be taken for valid.
+func TestGapIsNotFoldedOver(t *testing.T) {
+	is := is.New(t)
+	log := &testLog{}
+	log.append(Record{Kind: KindPolicy, ID: "p1", Document: document(1)})
+	r := NewReader()
+	r.Step(0, Tick{})
+	out := r.Step(0, PageRead{From: 1, Page: log.page(1, 10)})
+	is.Equal(len(out), 3) // Changed, Fresh, Read
+	log.append(Record{Kind: KindPolicy, ID: "p2", Base: 1, Document: document(2)})
+	log.append(Record{Kind: KindPolicy, ID: "p3", Base: 1, Document: document(3)})
+	log.expire(2)
+	out = r.Step(0, PageRead{From: 2, Page: log.page(2, 10)})
+	is.Equal(out, []Output{Gap{Wanted: 2, First: 3}, Read{From: 4, Limit: readLimit, Wait: readWait}})
+	peer := Folded{Offset: 3, PolicyVersion: 2, Document: document(2)}
+	out = r.Step(0, PeerState{Folded: peer})
+	changed, ok := out[0].(Changed)
+	is.True(ok && changed.Folded.PolicyVersion == 2 && changed.Policy.Control.Remember == 62*time.Second)
+	out = r.Step(0, PeerState{Folded: Folded{Offset: 9, PolicyVersion: 1, Document: document(1)}})
+	skipped, ok := out[0].(Skipped)
+	is.True(ok && errors.Is(skipped.Err, ErrState)) // a policy that goes back is refused
+	out = r.Step(0, PageRead{From: 4, Page: log.page(4, 10)})
+	is.Equal(out[0], Fresh{})
+}
+
+// The state of a peer must be checked before it is used; a bad one would
+// spread to every VM.
+func TestValidate(t *testing.T) {
+	good := func() Folded {
+		return Folded{
+			Offset: 9, PolicyVersion: 3, Document: document(1), Seen: []string{"x"},
+			Terms:      map[core.FailureDomain]Term{"north": {Number: 4, Coordinator: "a", Candidates: []core.VM{"b"}}},
+			Delegation: Delegation{Number: 5, States: map[core.FailureDomain]DomainState{"south": DomainOut}},
+		}
+	}
+	if err := good().Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*Folded){
+		"version after offset": func(f *Folded) { f.PolicyVersion = 10 },
+		"bad document":         func(f *Folded) { f.Document = "[x]" },
+		"missing document":     func(f *Folded) { f.Document = "" },
+		"term after offset":    func(f *Folded) { f.Terms["north"] = Term{Number: 10, Coordinator: "a"} },
+		"term of nobody":       func(f *Folded) { f.Terms["north"] = Term{Number: 4} },
+		"repeated candidate":   func(f *Folded) { f.Terms["north"] = Term{Number: 4, Coordinator: "a", Candidates: []core.VM{"a"}} },
+		"unknown state":        func(f *Folded) { f.Delegation.States["south"] = "away" },
+		"too many ids":         func(f *Folded) { f.Seen = make([]string, maxSeen+1) },
+	} {
+		f := good()
+		spoil(&f)
+		if err := f.Validate(); !errors.Is(err, ErrState) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// No bytes in the log may stop a replay.
+func FuzzDecodeRecord(f *testing.F) {
+	r := Record{Kind: KindPolicy, ID: "p", Document: document(1)}
+	data, _ := r.Encode()
+	f.Add(data)
+	f.Add([]byte(`{"kind":"snapshot","id":"s","folded":{"offset":0,"terms":{"":{}}}}`))
+	f.Add([]byte(`{"kind":"term","id":"t","candidates":["a","a"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := DecodeRecord(data); err != nil {
+			if !errors.Is(err, ErrRecord) {
+				t.Fatalf("error of another kind: %v", err)
+			}
+		} else if r.Validate() != nil {
+			t.Fatal("decoded, but invalid")
+		}
+	})
+}
+
+// Whatever records follow each other, the state stays valid, moves on by
+// exactly the offset, and changes only by a record that is accepted.
+func FuzzApply(f *testing.F) {
+	one, _ := Record{Kind: KindTerm, ID: "t", Author: "a", FailureDomain: "north", Coordinator: "a"}.Encode()
+	two, _ := Record{Kind: KindPolicy, ID: "p", Document: document(1)}.Encode()
+	f.Add(one, two)
+	f.Add(two, []byte(`{"kind":"domain","id":"d","failure_domain":"north","state":"out"}`))
+	f.Add(two, []byte(`{"kind":"snapshot","id":"s","folded":{"offset":1}}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		var state Folded
+		for i, data := range [][]byte{first, second, first} {
+			offset := uint64(i + 1)
+			r, err := DecodeRecord(data)
+			if err != nil {
+				state = state.Skip(offset)
+				continue
+			}
+			next, err := state.Apply(offset, r)
+			if err != nil && !reflect.DeepEqual(next, state.Skip(offset)) {
+				t.Fatalf("a skipped record changed the state: %v", err)
+			}
+			if invalid := next.Validate(); next.Offset != offset || invalid != nil {
+				t.Fatalf("state at %d: %v", next.Offset, invalid)
+			}
+			state = next
+		}
+	})
+}
--- a/internal/platformlog/reader.go
+++ b/internal/platformlog/reader.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/policy"
 )
 
 const (
@@ -23,9 +24,10 @@
 type (
 	// Tick lets the reader look at its timers.
 	Tick struct{}
-	// PageRead is the result of a read that was begun at Began.
+	// PageRead is the result of a read from From that was begun at Began.
 	PageRead struct {
 		Began core.Instant
+		From  uint64
 		Page  Page
 	}
 	// ReadFailed is the failure of a read.
@@ -49,17 +51,24 @@
 		Limit int
 		Wait  time.Duration
 	}
-	// Changed hands out the folded state after a change.
-	Changed struct{ Folded Folded }
+	// Changed hands out the folded state after a change, with the policy in
+	// force; the policy is nil before the first.
+	Changed struct {
+		Folded Folded
+		Policy *policy.Policy
+	}
 	// Fresh says that the log was read up to its end by a read begun at Began.
 	Fresh struct{ Began core.Instant }
-	// Skipped reports a record that was passed over.
+	// Skipped reports a record, or the state of a peer, that was passed over.
 	Skipped struct {
 		Offset uint64
 		Err    error
 	}
-	// Gap reports that records had expired before they were read.
+	// Gap reports that records had expired before they were read. The state
+	// stays as it is until a snapshot or a peer's state closes the gap.
 	Gap struct{ Wanted, First uint64 }
+	// Closed reports that the state of a snapshot closed a gap.
+	Closed struct{ Offset uint64 }
 )
 
 func (Read) isReaderOutput()    {}
@@ -67,10 +76,13 @@
 func (Fresh) isReaderOutput()   {}
 func (Skipped) isReaderOutput() {}
 func (Gap) isReaderOutput()     {}
+func (Closed) isReaderOutput()  {}
 
 // Reader is the step of the log reader.
 type Reader struct {
-	folded  Folded
+	replay  Replay
+	policy  *policy.Policy
+	version uint64
 	reading bool
 	pause   time.Duration
 	retryAt core.Instant
@@ -93,46 +105,52 @@
 		r.pause = min(max(2*r.pause, retryMin), retryMax)
 		r.retryAt = now.Add(r.pause)
 	case PeerState:
-		if m.Folded.Offset > r.folded.Offset {
-			r.folded = m.Folded
-			out = append(out, Changed{r.folded})
+		adopted, err := r.replay.Adopt(m.Folded)
+		if err != nil {
+			out = append(out, Skipped{Offset: m.Folded.Offset, Err: err})
+		}
+		if adopted {
+			out = append(out, r.changed())
 		}
 	}
 	if !r.reading && !now.Before(r.retryAt) {
 		r.reading = true
-		out = append(out, Read{From: r.folded.Offset + 1, Limit: readLimit, Wait: readWait})
+		out = append(out, Read{From: r.replay.From(), Limit: readLimit, Wait: readWait})
 	}
 	return out
 }
 
 func (r *Reader) stepPage(m PageRead) []Output {
 	var out []Output
-	before := r.folded
-	wanted := before.Offset + 1
-	if m.Page.First > wanted {
-		out = append(out, Gap{Wanted: wanted, First: m.Page.First})
-	}
-	for _, e := range m.Page.Entries {
-		if e.Offset <= r.folded.Offset {
-			continue
-		}
-		record, err := DecodeRecord(e.Data)
-		if err != nil {
-			r.folded = r.folded.Skip(e.Offset)
-			out = append(out, Skipped{Offset: e.Offset, Err: err})
-			continue
-		}
-		folded, err := r.folded.Apply(e.Offset, record)
-		r.folded = folded
-		if err != nil {
-			out = append(out, Skipped{Offset: e.Offset, Err: err})
+	before := r.replay.Folded().Offset
+	events, continues := r.replay.Page(m.From, m.Page)
+	for _, e := range events {
+		switch {
+		case e.Gap:
+			out = append(out, Gap{Wanted: before + 1, First: e.Offset})
+		case e.Adopted:
+			out = append(out, Closed{Offset: e.Offset})
+		case e.Err != nil:
+			out = append(out, Skipped{Offset: e.Offset, Err: e.Err})
 		}
 	}
-	if r.folded.Offset != before.Offset {
-		out = append(out, Changed{r.folded})
+	if r.replay.Folded().Offset != before {
+		out = append(out, r.changed())
 	}
-	if len(m.Page.Entries) < readLimit {
+	if continues && len(m.Page.Entries) < readLimit {
 		out = append(out, Fresh{Began: m.Began})
 	}
 	return out
 }
+
+// changed parses the policy only when its version differs, since terms change
+// more often than the policy.
+func (r *Reader) changed() Output {
+	f := r.replay.Folded()
+	if f.PolicyVersion != r.version {
+		// The document was validated by Apply or Validate.
+		r.policy, _ = policy.Parse([]byte(f.Document))
+		r.version = f.PolicyVersion
+	}
+	return Changed{Folded: f, Policy: r.policy}
+}
--- a/internal/platformlog/record.go
+++ b/internal/platformlog/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"celeryhook.example/celeryhook/internal/core"
 )
@@ -75,12 +76,73 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrRecord, err)
 	}
-	if r.ID == "" {
-		return Record{}, fmt.Errorf("%w: it has no id", ErrRecord)
+	if err := r.Validate(); err != nil {
+		return Record{}, err
+	}
+	return r, nil
+}
+
+const (
+	// maxIDBytes bounds ids and names: the folded state keeps 1024 ids.
+	maxIDBytes = 256
+	// maxCandidates is the greatest value of the policy's candidates.
+	maxCandidates = 4
+)
+
+// Validate checks the fields of a record's kind. Any error wraps ErrRecord.
+func (r Record) Validate() error {
+	if r.ID == "" || len(r.ID) > maxIDBytes {
+		return fmt.Errorf("%w: its id has %d bytes, 1 to %d are allowed", ErrRecord, len(r.ID), maxIDBytes)
+	}
+	if len(r.FailureDomain) > maxIDBytes || len(r.Author) > maxIDBytes {
+		return fmt.Errorf("%w: a name has more than %d bytes", ErrRecord, maxIDBytes)
 	}
 	switch r.Kind {
-	case KindPolicy, KindTerm, KindDomain, KindReleased, KindSnapshot:
-		return r, nil
+	case KindPolicy:
+		if r.Document == "" {
+			return fmt.Errorf("%w: policy without document", ErrRecord)
+		}
+	case KindTerm:
+		return r.validateTerm()
+	case KindDomain:
+		if r.FailureDomain == "" || !r.State.valid() {
+			return fmt.Errorf("%w: domain record for %q with state %q", ErrRecord, r.FailureDomain, r.State)
+		}
+	case KindReleased:
+		if r.FailureDomain == "" {
+			return fmt.Errorf("%w: release without failure domain", ErrRecord)
+		}
+	case KindSnapshot:
+		if r.Folded == nil {
+			return fmt.Errorf("%w: snapshot without state", ErrRecord)
+		}
+	default:
+		return fmt.Errorf("%w: unknown kind %q", ErrRecord, r.Kind)
 	}
-	return Record{}, fmt.Errorf("%w: unknown kind %q", ErrRecord, r.Kind)
+	return nil
+}
+
+func (r Record) validateTerm() error {
+	switch {
+	case r.FailureDomain == "" || r.Coordinator == "" || r.Author == "":
+		return fmt.Errorf("%w: term without failure domain, coordinator or author", ErrRecord)
+	case len(r.Candidates) > maxCandidates:
+		return fmt.Errorf("%w: term with %d candidates, at most %d are allowed", ErrRecord, len(r.Candidates), maxCandidates)
+	}
+	return checkVMs(r.Coordinator, r.Candidates)
+}
+
+// checkVMs names a VM that is missing or repeated among coordinator and
+// candidates: two promises of one VM would count as those of two.
+func checkVMs(coordinator core.VM, candidates []core.VM) error {
+	for i, vm := range candidates {
+		if vm == "" || vm == coordinator || slices.Contains(candidates[:i], vm) || len(vm) > maxIDBytes {
+			return fmt.Errorf("%w: candidate %q is empty, too long or repeated", ErrRecord, vm)
+		}
+	}
+	return nil
+}
+
+func (s DomainState) valid() bool {
+	return s == DomainIn || s == DomainOut || s == DomainLost
 }
