standin/platform: settable faults

Cause: the stand-in could not fail, so outages, lost answers, retention and a lagging list of VMs could not be tried.

Change: faults are set at /standin/faults, by Server.SetFaults, and by flags of standin-platform: down, delay, lose the answers of the next appends, drop records by count and age, lag of the list. The store decides them; the HTTP side only answers 503 or closes the connection. VMs can be taken off the list. A wait_ms that isn't a number is rejected. The tick is 5 ms, the accuracy of delays.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -18,11 +18,29 @@
 type platformCommand struct {
 	streams
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+
+	Down          bool          `long:"down" description:"start as a platform that is down"`
+	Delay         time.Duration `long:"delay" description:"hold every answer back for this time"`
+	LoseAnswers   int           `long:"lose-answers" description:"lose the answers of this many appends after their effect"`
+	RetainRecords int           `long:"retain-records" description:"records that the log keeps; 0 for all"`
+	RetainAge     time.Duration `long:"retain-age" description:"time for which the log keeps a record; 0 for ever"`
+	VMLag         time.Duration `long:"vm-lag" description:"time for which a change of the list of VMs is invisible"`
 }
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
 	s := platform.NewServer()
+	faults := platform.Faults{
+		Down:          c.Down,
+		Delay:         c.Delay,
+		LoseAnswers:   c.LoseAnswers,
+		RetainRecords: c.RetainRecords,
+		RetainAge:     c.RetainAge,
+		VMLag:         c.VMLag,
+	}
+	if err := s.SetFaults(context.Background(), faults); err != nil {
+		return err
+	}
 	return c.serve(c.Listen, s, s.Run)
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -3,19 +3,24 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/ring"
 )
 
 const (
-	ringSize     = 256
-	tickInterval = 20 * time.Millisecond
+	ringSize = 256
+	// tickInterval is the accuracy of delays.
+	tickInterval = 5 * time.Millisecond
+	// maxWait bounds how long a read may wait.
+	maxWait = 30 * time.Second
 )
 
 // Server is the HTTP side of the stand-in.
@@ -33,19 +38,14 @@
 	s.mux.HandleFunc("GET /log", s.read)
 	s.mux.HandleFunc("GET /vms", s.list)
 	s.mux.HandleFunc("PUT /vms", s.setVM)
+	s.mux.HandleFunc("DELETE /vms/{id}", s.removeVM)
+	s.mux.HandleFunc("GET /standin/faults", s.getFaults)
+	s.mux.HandleFunc("PUT /standin/faults", s.putFaults)
 	return s
 }
 
-func deliver(_ context.Context, o Output) {
-	switch o := o.(type) {
-	case Appended:
-		o.To <- o.Offset
-	case PageRead:
-		o.To <- o.Page
-	case Listed:
-		o.To <- o.VMs
-	}
-}
+// deliver doesn't block: each reply channel has room for its one answer.
+func deliver(_ context.Context, o Output) { o.To <- o.Answer }
 
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context) { s.duty.Run(ctx) }
@@ -53,42 +53,72 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// SetFaults replaces the faults. Requests that are made afterwards meet them,
+// and so do reads that wait already. It may be called before Run.
+func (s *Server) SetFaults(ctx context.Context, f Faults) error {
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	return s.ring.Put(ctx, SetFaults{Faults: f})
+}
+
+// Faults returns the faults; LoseAnswers has been reduced by those lost.
+func (s *Server) Faults(ctx context.Context) (Faults, error) {
+	reply := make(chan Answer, 1)
+	a, err := s.ask(ctx, GetFaults{Reply: reply}, reply)
+	return a.Faults, err
+}
+
 func (s *Server) append(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformlog.MaxRecordBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	reply := make(chan uint64, 1)
-	if offset, ok := ask(r.Context(), s.ring, Message(Append{Data: data, Reply: reply}), reply); ok {
-		writeJSON(w, map[string]uint64{"offset": offset})
+	reply := make(chan Answer, 1)
+	if a, ok := s.serve(w, r, Append{Data: data, Reply: reply}, reply); ok {
+		writeJSON(w, map[string]uint64{"offset": a.Offset})
 	}
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	m, err := readOf(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply := make(chan Answer, 1)
+	m.Reply = reply
+	if a, ok := s.serve(w, r, m, reply); ok {
+		writeJSON(w, a.Page)
+	}
+}
+
+func readOf(r *http.Request) (Read, error) {
 	q := r.URL.Query()
 	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
 	if err != nil {
-		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
-		return
+		return Read{}, fmt.Errorf("from: %w", err)
 	}
 	limit, err := strconv.Atoi(q.Get("max"))
 	if err != nil || limit <= 0 {
-		http.Error(w, "max must be a positive number", http.StatusBadRequest)
-		return
+		return Read{}, fmt.Errorf("max: %q is not a positive number", q.Get("max"))
 	}
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	reply := make(chan platformlog.Page, 1)
-	m := Read{From: from, Limit: limit, Wait: time.Duration(wait) * time.Millisecond, Reply: reply}
-	if page, ok := ask(r.Context(), s.ring, Message(m), reply); ok {
-		writeJSON(w, page)
+	var wait time.Duration
+	if text := q.Get("wait_ms"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return Read{}, fmt.Errorf("wait_ms: %w", err)
+		}
+		wait = min(time.Duration(n)*time.Millisecond, maxWait)
 	}
+	return Read{From: from, Limit: limit, Wait: wait}, nil
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	reply := make(chan []platformlog.LiveVM, 1)
-	if vms, ok := ask(r.Context(), s.ring, Message(ListVMs{Reply: reply}), reply); ok {
-		writeJSON(w, vms)
+	reply := make(chan Answer, 1)
+	if a, ok := s.serve(w, r, ListVMs{Reply: reply}, reply); ok {
+		writeJSON(w, append([]platformlog.LiveVM{}, a.VMs...))
 	}
 }
 
@@ -98,21 +128,60 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if s.ring.Put(r.Context(), SetVM{VM: vm}) == nil {
+	s.put(w, r, SetVM{VM: vm})
+}
+
+func (s *Server) removeVM(w http.ResponseWriter, r *http.Request) {
+	s.put(w, r, RemoveVM{ID: core.VM(r.PathValue("id"))})
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, r *http.Request) {
+	if f, err := s.Faults(r.Context()); err == nil {
+		writeJSON(w, f.json())
+	}
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	f, err := readFaults(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.put(w, r, SetFaults{Faults: f})
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request, m Message) {
+	if s.ring.Put(r.Context(), m) == nil {
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
 
-func ask[T any](ctx context.Context, in *ring.Ring[Message], m Message, reply <-chan T) (T, bool) {
-	var none T
-	if in.Put(ctx, m) != nil {
-		return none, false
+// serve answers a request of the platform's interface, or fails as the faults
+// say.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, m Message, reply <-chan Answer) (Answer, bool) {
+	a, err := s.ask(r.Context(), m, reply)
+	switch {
+	case err != nil:
+		return a, false
+	case a.Down:
+		http.Error(w, "the platform is down", http.StatusServiceUnavailable)
+		return a, false
+	case a.Lost:
+		// Closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	return a, true
+}
+
+func (s *Server) ask(ctx context.Context, m Message, reply <-chan Answer) (Answer, error) {
+	if err := s.ring.Put(ctx, m); err != nil {
+		return Answer{}, err
 	}
 	select {
-	case v := <-reply:
-		return v, true
+	case a := <-reply:
+		return a, nil
 	case <-ctx.Done():
-		return none, false
+		return Answer{}, ctx.Err()
 	}
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
@@ -11,63 +12,73 @@
 type Message interface{ isStoreMessage() }
 
 type (
-	// Tick lets the store answer reads that have waited long enough.
+	// Tick lets the store look at its timers.
 	Tick struct{}
 	// Append adds a record.
 	Append struct {
 		Data  []byte
-		Reply chan<- uint64
+		Reply chan<- Answer
 	}
 	// Read asks for records; without any it waits.
 	Read struct {
 		From  uint64
 		Limit int
 		Wait  time.Duration
-		Reply chan<- platformlog.Page
+		Reply chan<- Answer
 	}
 	// ListVMs asks for the list of VMs.
-	ListVMs struct{ Reply chan<- []platformlog.LiveVM }
+	ListVMs struct{ Reply chan<- Answer }
 	// SetVM adds or changes a VM of the list.
 	SetVM struct{ VM platformlog.LiveVM }
+	// RemoveVM takes a VM off the list.
+	RemoveVM struct{ ID core.VM }
+	// SetFaults replaces the faults.
+	SetFaults struct{ Faults Faults }
+	// GetFaults asks for the faults.
+	GetFaults struct{ Reply chan<- Answer }
 )
 
-func (Tick) isStoreMessage()    {}
-func (Append) isStoreMessage()  {}
-func (Read) isStoreMessage()    {}
-func (ListVMs) isStoreMessage() {}
-func (SetVM) isStoreMessage()   {}
+func (Tick) isStoreMessage()      {}
+func (Append) isStoreMessage()    {}
+func (Read) isStoreMessage()      {}
+func (ListVMs) isStoreMessage()   {}
+func (SetVM) isStoreMessage()     {}
+func (RemoveVM) isStoreMessage()  {}
+func (SetFaults) isStoreMessage() {}
+func (GetFaults) isStoreMessage() {}
 
-// Output is an answer to be delivered.
-type Output interface{ isStoreOutput() }
-
-type (
-	// Appended answers an Append.
-	Appended struct {
-		To     chan<- uint64
-		Offset uint64
-	}
-	// PageRead answers a Read.
-	PageRead struct {
-		To   chan<- platformlog.Page
-		Page platformlog.Page
-	}
-	// Listed answers a ListVMs.
-	Listed struct {
-		To  chan<- []platformlog.LiveVM
-		VMs []platformlog.LiveVM
-	}
-)
+// Answer is the answer to a message; the fields of its kind are set.
+type Answer struct {
+	Offset uint64
+	Page   platformlog.Page
+	VMs    []platformlog.LiveVM
+	Faults Faults
+	// Down says that nothing was done, Lost that the answer must not arrive.
+	Down, Lost bool
+}
 
-func (Appended) isStoreOutput() {}
-func (PageRead) isStoreOutput() {}
-func (Listed) isStoreOutput()   {}
+// Output is an answer to be delivered.
+type Output struct {
+	To     chan<- Answer
+	Answer Answer
+}
 
-// Store is the step that owns log and list.
+// Store is the step that owns log, list and faults.
 type Store struct {
-	entries []platformlog.Entry
-	first   uint64
+	faults  Faults
+	entries []stored
+	// next is the offset of the next record.
+	next    uint64
 	waiting []waiting
+	held    []held
 	vms     []platformlog.LiveVM
+	// changes of the list aren't visible before their time.
+	changes []change
+}
+
+type stored struct {
+	entry platformlog.Entry
+	at    core.Instant
 }
 
 type waiting struct {
@@ -75,58 +86,131 @@
 	until core.Instant
 }
 
+type held struct {
+	output Output
+	until  core.Instant
+}
+
+type change struct {
+	vm      platformlog.LiveVM
+	removed bool
+	at      core.Instant
+}
+
 // NewStore returns an empty store; the first offset is 1.
-func NewStore() *Store { return &Store{first: 1} }
+func NewStore() *Store { return &Store{next: 1} }
 
 // Step implements duty.Step.
 func (s *Store) Step(now core.Instant, m Message) []Output {
-	var out []Output
 	switch m := m.(type) {
-	case Tick:
 	case Append:
-		offset := s.first + uint64(len(s.entries))
-		s.entries = append(s.entries, platformlog.Entry{Offset: offset, Data: m.Data})
-		out = append(out, Appended{To: m.Reply, Offset: offset})
+		s.append(now, m)
 	case Read:
 		s.waiting = append(s.waiting, waiting{read: m, until: now.Add(m.Wait)})
 	case ListVMs:
-		out = append(out, Listed{To: m.Reply, VMs: append([]platformlog.LiveVM(nil), s.vms...)})
+		s.showChanges(now)
+		s.answer(now, m.Reply, Answer{VMs: slices.Clone(s.vms)})
 	case SetVM:
-		s.setVM(m.VM)
+		s.changes = append(s.changes, change{vm: m.VM, at: now.Add(s.faults.VMLag)})
+	case RemoveVM:
+		s.changes = append(s.changes, change{vm: platformlog.LiveVM{ID: m.ID}, removed: true, at: now.Add(s.faults.VMLag)})
+	case SetFaults:
+		s.faults = m.Faults
+	case GetFaults:
+		s.hold(now, m.Reply, Answer{Faults: s.faults})
 	}
-	return append(out, s.answerReads(now)...)
+	s.expire(now)
+	s.answerReads(now)
+	return s.release(now)
 }
 
-func (s *Store) setVM(vm platformlog.LiveVM) {
-	for i := range s.vms {
-		if s.vms[i].ID == vm.ID {
-			s.vms[i] = vm
-			return
-		}
+func (s *Store) append(now core.Instant, m Append) {
+	if s.faults.Down {
+		s.answer(now, m.Reply, Answer{})
+		return
+	}
+	answer := Answer{Offset: s.next}
+	s.entries = append(s.entries, stored{entry: platformlog.Entry{Offset: s.next, Data: m.Data}, at: now})
+	s.next++
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		answer.Lost = true
 	}
-	s.vms = append(s.vms, vm)
+	s.answer(now, m.Reply, answer)
 }
 
-func (s *Store) answerReads(now core.Instant) []Output {
+// answer answers a request of the platform's interface.
+func (s *Store) answer(now core.Instant, to chan<- Answer, a Answer) {
+	if s.faults.Down {
+		s.hold(now, to, Answer{Down: true})
+		return
+	}
+	s.hold(now.Add(s.faults.Delay), to, a)
+}
+
+func (s *Store) hold(until core.Instant, to chan<- Answer, a Answer) {
+	s.held = append(s.held, held{output: Output{To: to, Answer: a}, until: until})
+}
+
+// release returns the answers whose time has come.
+func (s *Store) release(now core.Instant) []Output {
 	var out []Output
-	var still []waiting
-	for _, w := range s.waiting {
-		page := s.page(w.read.From, w.read.Limit)
-		if len(page.Entries) == 0 && now.Before(w.until) {
-			still = append(still, w)
-			continue
+	s.held = slices.DeleteFunc(s.held, func(h held) bool {
+		due := !now.Before(h.until)
+		if due {
+			out = append(out, h.output)
 		}
-		out = append(out, PageRead{To: w.read.Reply, Page: page})
-	}
-	s.waiting = still
+		return due
+	})
 	return out
 }
 
+// expire drops the records that the retention doesn't cover.
+func (s *Store) expire(now core.Instant) {
+	drop := 0
+	if s.faults.RetainRecords > 0 {
+		drop = max(0, len(s.entries)-s.faults.RetainRecords)
+	}
+	for s.faults.RetainAge > 0 && drop < len(s.entries) && now.Sub(s.entries[drop].at) > s.faults.RetainAge {
+		drop++
+	}
+	s.entries = s.entries[drop:]
+}
+
+func (s *Store) answerReads(now core.Instant) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
+		page := s.page(w.read.From, w.read.Limit)
+		if len(page.Entries) == 0 && now.Before(w.until) && !s.faults.Down {
+			return false
+		}
+		s.answer(now, w.read.Reply, Answer{Page: page})
+		return true
+	})
+}
+
 func (s *Store) page(from uint64, limit int) platformlog.Page {
-	page := platformlog.Page{First: s.first}
-	from = max(from, s.first)
-	for i := from - s.first; i < uint64(len(s.entries)) && len(page.Entries) < limit; i++ {
-		page.Entries = append(page.Entries, s.entries[i])
+	page := platformlog.Page{First: s.next - uint64(len(s.entries))}
+	from = max(from, page.First)
+	for i := from - page.First; i < uint64(len(s.entries)) && len(page.Entries) < limit; i++ {
+		page.Entries = append(page.Entries, s.entries[i].entry)
 	}
 	return page
 }
+
+// showChanges makes the changes visible whose time has come, in order.
+func (s *Store) showChanges(now core.Instant) {
+	for len(s.changes) > 0 && !now.Before(s.changes[0].at) {
+		c := s.changes[0]
+		s.changes = s.changes[1:]
+		i := slices.IndexFunc(s.vms, func(vm platformlog.LiveVM) bool { return vm.ID == c.vm.ID })
+		switch {
+		case c.removed && i >= 0:
+			s.vms = slices.Delete(s.vms, i, i+1)
+		case c.removed:
+		case i >= 0:
+			s.vms[i] = c.vm
+		default:
+			s.vms = append(s.vms, c.vm)
+		}
+	}
+}
