command: policy and domain commands

Cause: nothing could put a policy in force or take a failure domain out.

Change: policy check, diff, submit, show and history, and domain out, in and lost work on the platform's log. A submission whose fate is unknown prints its id, and the same command with --id resolves it. main reads the exit code from the error.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -28,6 +28,8 @@
 	add(parser, "entry", "Run an entry VM", "Runs an entry VM until it gets SIGTERM or SIGINT.", &entryCommand{streams: s})
 	add(parser, "standin-platform", "Run the platform's stand-in", "Runs a stand-in of the platform for trials.", &platformCommand{streams: s})
 	add(parser, "standin-target", "Run a target's stand-in", "Runs a stand-in of a target for trials.", &targetCommand{streams: s})
+	addPolicy(parser, s)
+	addDomain(parser, s)
 	_, err := parser.ParseArgs(args)
 	var flagError *flags.Error
 	switch {
@@ -41,7 +43,7 @@
 		return ExitUsage
 	}
 	fmt.Fprintln(stderr, "celeryhook:", err)
-	return ExitFailed
+	return exitCodeOf(err)
 }
 
 func add(p *flags.Parser, name, short, long string, data any) {
--- /dev/null
+++ b/internal/command/exit.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+
+	"celeryhook.example/celeryhook/internal/platformlog"
+	"celeryhook.example/celeryhook/internal/policy"
+)
+
+// Exit codes of commands that change what is in the log.
+const (
+	// ExitInvalid: rejected by validation.
+	ExitInvalid = 3
+	// ExitRaced: rejected, because another version stands.
+	ExitRaced = 4
+	// ExitUnavailable: the platform is unavailable; nothing was appended.
+	ExitUnavailable = 5
+	// ExitUnknown: the record may have been appended.
+	ExitUnknown = 6
+)
+
+const exitCodesHelp = "Exit codes: 0 accepted or done, 1 failed, 2 wrong command line, 3 rejected by validation, " +
+	"4 rejected because another version stands, 5 platform unavailable and nothing appended, " +
+	"6 unknown whether the record was appended."
+
+// exitError is an error with an exit code of its own.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// exitCodeOf returns the exit code for an error of a command.
+func exitCodeOf(err error) int {
+	var coded *exitError
+	var faults policy.Faults
+	switch {
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &faults), errors.Is(err, policy.ErrSyntax):
+		return ExitInvalid
+	case errors.Is(err, platformlog.ErrUnavailable), errors.Is(err, platformlog.ErrNoState):
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
+
+// report prints what became of a record and returns the error for its exit
+// code.
+func (s streams) report(what, id string, fate platformlog.Fate) error {
+	switch fate.Kind {
+	case platformlog.FateAccepted:
+		fmt.Fprintf(s.out, "%s accepted as version %d\n", what, fate.Version)
+		return nil
+	case platformlog.FateInvalid:
+		return &exitError{ExitInvalid, fmt.Errorf("%s rejected: %w", what, fate.Err)}
+	case platformlog.FateRaced:
+		return &exitError{ExitRaced, fmt.Errorf("%s rejected: version %d stands: %w", what, fate.Standing, fate.Err)}
+	case platformlog.FateUnavailable:
+		return &exitError{ExitUnavailable, fmt.Errorf("%s not appended: %w", what, fate.Err)}
+	}
+	return &exitError{ExitUnknown, fmt.Errorf("%s may have been appended; the same command with --id %s tells its fate: %w", what, id, fate.Err)}
+}
--- /dev/null
+++ b/internal/command/policy.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"celeryhook.example/celeryhook/internal/platformlog"
+	"celeryhook.example/celeryhook/internal/policy"
+)
+
+// platformFlags say where the platform is. Commands embed them.
+type platformFlags struct {
+	Platform string        `long:"platform" env:"CELERYHOOK_PLATFORM" description:"base URL of the platform, for example http://127.0.0.1:9000"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"time after which the command gives up"`
+}
+
+func (f platformFlags) open() (*platformlog.HTTPLog, error) {
+	if f.Platform == "" {
+		return nil, &exitError{ExitUsage, errors.New("--platform is missing")}
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return platformlog.NewHTTPLog(f.Platform, &http.Client{Transport: transport}), nil
+}
+
+// history reads the log to its end.
+func (f platformFlags) history(visit func(platformlog.Event)) (platformlog.Folded, error) {
+	log, err := f.open()
+	if err != nil {
+		return platformlog.Folded{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	return platformlog.History(ctx, log, visit)
+}
+
+// errNoPolicy says that the log holds no policy in force.
+var errNoPolicy = errors.New("no policy is in force")
+
+// inForce returns the policy in force and its version.
+func (f platformFlags) inForce() (*policy.Policy, uint64, error) {
+	folded, err := f.history(func(platformlog.Event) {})
+	if err != nil {
+		return nil, 0, err
+	}
+	if folded.PolicyVersion == 0 {
+		return nil, 0, errNoPolicy
+	}
+	p, err := policy.Parse([]byte(folded.Document))
+	return p, folded.PolicyVersion, err
+}
+
+func readPolicy(path string) ([]byte, *policy.Policy, error) {
+	document, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read policy: %w", err)
+	}
+	p, err := policy.Parse(document)
+	if err != nil {
+		return nil, nil, rejected(path, err)
+	}
+	return document, p, nil
+}
+
+// rejected puts each fault of a document on a line of its own.
+func rejected(path string, err error) error {
+	var faults policy.Faults
+	if !errors.As(err, &faults) {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	text := fmt.Sprintf("%s has %d faults:", path, len(faults))
+	for _, f := range faults {
+		text += "\n  " + f.String()
+	}
+	return &exitError{ExitInvalid, errors.New(text)}
+}
+
+// addPolicy registers the policy commands.
+func addPolicy(parser *flags.Parser, s streams) {
+	c := group(parser, "policy", "Check, compare, submit and show policies")
+	addTo(c, "check", "Validate a document", "Validates a document and names every fault by section, key and reason. Needs no platform.", &policyCheck{streams: s})
+	addTo(c, "diff", "Compare documents", "Prints the differences by section and key: from the version in force to a document, or from one document to another.", &policyDiff{streams: s})
+	addTo(c, "submit", "Put a document in force", "Validates a document, appends it to the log and reads the log back until its fate is known.", &policySubmit{streams: s})
+	addTo(c, "show", "Print the version in force", "Prints the version in force as a canonical document.", &policyShow{streams: s})
+	addTo(c, "history", "List policy and domain records", "Lists the policy and domain records that the log still holds, with the fate of each.", &policyHistory{streams: s})
+}
+
+func group(parser *flags.Parser, name, short string) *flags.Command {
+	c, err := parser.AddCommand(name, short, short+". "+exitCodesHelp, &struct{}{})
+	if err != nil {
+		panic(fmt.Sprintf("command: %s: %v", name, err))
+	}
+	return c
+}
+
+func addTo(c *flags.Command, name, short, long string, data any) {
+	if _, err := c.AddCommand(name, short, long+" "+exitCodesHelp, data); err != nil {
+		panic(fmt.Sprintf("command: %s %s: %v", c.Name, name, err))
+	}
+}
