platformlog: reads shrink when pages are too long

Cause: a read asked for 256 entries. With large policies such a page is longer than what the client accepts or what the read's time allows, so every attempt failed and the replay stopped.

Change: a read asks for half as many entries after a failure and for twice as many after a success, and the end of the log is judged by what was asked for.

--- a/internal/app/emit_reader.go
+++ b/internal/app/emit_reader.go
@@ -44,7 +44,7 @@
 		_ = p.reader.Put(ctx, platformlog.ReadFailed{Err: err})
 		return
 	}
-	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, From: r.From, Page: page})
+	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, From: r.From, Limit: r.Limit, Page: page})
 }
 
 func (p *Process) logChanged(ctx context.Context, c platformlog.Changed) {
--- a/internal/platformlog/log_test.go
+++ b/internal/platformlog/log_test.go
@@ -191,13 +191,13 @@
 	log.append(Record{Kind: KindPolicy, ID: "p1", Document: document(1)})
 	r := NewReader()
 	r.Step(0, Tick{})
-	out := r.Step(0, PageRead{From: 1, Page: log.page(1, 10)})
+	out := r.Step(0, PageRead{From: 1, Limit: 10, Page: log.page(1, 10)})
 	is.Equal(len(out), 3) // Changed, Fresh, Read
 	log.append(Record{Kind: KindPolicy, ID: "p2", Base: 1, Document: document(2)})
 	log.append(Record{Kind: KindPolicy, ID: "p3", Base: 1, Document: document(3)})
 	log.expire(2)
-	out = r.Step(0, PageRead{From: 2, Page: log.page(2, 10)})
-	is.Equal(out, []Output{Gap{Wanted: 2, First: 3}, Read{From: 4, Limit: readLimit, Wait: readWait}})
+	out = r.Step(0, PageRead{From: 2, Limit: 10, Page: log.page(2, 10)})
+	is.Equal(out, []Output{Gap{Wanted: 2, First: 3}, Read{From: 4, Limit: int(largest), Wait: readWait}})
 	peer := Folded{Offset: 3, PolicyVersion: 2, Document: document(2)}
 	out = r.Step(0, PeerState{Folded: peer})
 	changed, ok := out[0].(Changed)
@@ -205,10 +205,31 @@
 	out = r.Step(0, PeerState{Folded: Folded{Offset: 9, PolicyVersion: 1, Document: document(1)}})
 	skipped, ok := out[0].(Skipped)
 	is.True(ok && errors.Is(skipped.Err, ErrState)) // a policy that goes back is refused
-	out = r.Step(0, PageRead{From: 4, Page: log.page(4, 10)})
+	out = r.Step(0, PageRead{From: 4, Limit: 10, Page: log.page(4, 10)})
 	is.Equal(out[0], Fresh{})
 }
 
+// Pages that are too long for one read must get shorter, or large records
+// would stop the replay for ever.
+func TestReadsShrinkAfterFailures(t *testing.T) {
+	is := is.New(t)
+	r, now, limit := NewReader(), core.Instant(0), 0
+	r.Step(now, Tick{})
+	for range 12 {
+		r.Step(now, ReadFailed{Err: ErrUnavailable})
+		now = now.Add(retryMax)
+		for _, o := range r.Step(now, Tick{}) {
+			limit = o.(Read).Limit
+		}
+	}
+	is.Equal(limit, 1)
+	log := &testLog{}
+	log.append(Record{Kind: KindPolicy, ID: "p1", Document: document(1)})
+	out := r.Step(now, PageRead{From: 1, Limit: 1, Page: log.page(1, 1)})
+	is.Equal(len(out), 2) // Changed and Read, but not Fresh: a full page may not be the last
+	is.Equal(out[1].(Read).Limit, 2)
+}
+
 // The state of a peer must be checked before it is used; a bad one would
 // spread to every VM.
 func TestValidate(t *testing.T) {
--- a/internal/platformlog/reader.go
+++ b/internal/platformlog/reader.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// readLimit is how many entries one read asks for.
-	readLimit = 256
 	// readWait is how long a read waits at the log's end. It is shorter than
 	// the log lease, so that a quiet log still counts as fresh.
 	readWait = 300 * time.Millisecond
@@ -24,10 +22,12 @@
 type (
 	// Tick lets the reader look at its timers.
 	Tick struct{}
-	// PageRead is the result of a read from From that was begun at Began.
+	// PageRead is the result of a read of up to Limit entries from From on that
+	// was begun at Began.
 	PageRead struct {
 		Began core.Instant
 		From  uint64
+		Limit int
 		Page  Page
 	}
 	// ReadFailed is the failure of a read.
@@ -83,13 +83,14 @@
 	replay  Replay
 	policy  *policy.Policy
 	version uint64
+	size    readSize
 	reading bool
 	pause   time.Duration
 	retryAt core.Instant
 }
 
 // NewReader returns a reader at the start of the log.
-func NewReader() *Reader { return &Reader{} }
+func NewReader() *Reader { return &Reader{size: largest} }
 
 // Step implements duty.Step.
 func (r *Reader) Step(now core.Instant, m Message) []Output {
@@ -99,9 +100,11 @@
 	case PageRead:
 		r.reading = false
 		r.pause = 0
+		r.size = r.size.after(false)
 		out = r.stepPage(m)
 	case ReadFailed:
 		r.reading = false
+		r.size = r.size.after(true)
 		r.pause = min(max(2*r.pause, retryMin), retryMax)
 		r.retryAt = now.Add(r.pause)
 	case PeerState:
@@ -115,7 +118,7 @@
 	}
 	if !r.reading && !now.Before(r.retryAt) {
 		r.reading = true
-		out = append(out, Read{From: r.replay.From(), Limit: readLimit, Wait: readWait})
+		out = append(out, Read{From: r.replay.From(), Limit: int(r.size), Wait: readWait})
 	}
 	return out
 }
@@ -137,7 +140,7 @@
 	if r.replay.Folded().Offset != before {
 		out = append(out, r.changed())
 	}
-	if continues && len(m.Page.Entries) < readLimit {
+	if continues && len(m.Page.Entries) < m.Limit {
 		out = append(out, Fresh{Began: m.Began})
 	}
 	return out
--- a/internal/platformlog/replay.go
+++ b/internal/platformlog/replay.go
@@ -111,6 +111,23 @@
 	return true
 }
 
+// readSize is how many entries a read asks for. It halves after a
+// failure, since a page of large records may be too long for the time that a
+// read has, and doubles after a success.
+type readSize int
+
+const (
+	smallest readSize = 1
+	largest  readSize = 256
+)
+
+func (s readSize) after(failed bool) readSize {
+	if failed {
+		return max(s/2, smallest)
+	}
+	return min(s*2, largest)
+}
+
 // Reason names an error for which a record or state was skipped, for counters.
 func Reason(err error) string {
 	for _, r := range []struct {
--- a/internal/platformlog/submission.go
+++ b/internal/platformlog/submission.go
@@ -79,11 +79,12 @@
 		Offset uint64
 		Err    error
 	}
-	// ReadResult is the result of a read from From.
+	// ReadResult is the result of a read of up to Limit entries from From on.
 	ReadResult struct {
-		From uint64
-		Page Page
-		Err  error
+		From  uint64
+		Limit int
+		Page  Page
+		Err   error
 	}
 	// TimeOver says that no more actions are carried out.
 	TimeOver struct{}
@@ -106,6 +107,7 @@
 	// check looks at the state before the append.
 	check  func(Folded) error
 	replay Replay
+	size   readSize
 
 	data []byte
 	// sent says that an append may have taken effect, at is its offset if known.
@@ -117,7 +119,7 @@
 // NewSubmission returns a submission of a record that has an id. Check may be
 // nil.
 func NewSubmission(r Record, base *uint64, check func(Folded) error) *Submission {
-	return &Submission{record: r, base: base, check: check}
+	return &Submission{record: r, base: base, check: check, size: largest}
 }
 
 // Start returns the first action.
@@ -132,6 +134,7 @@
 	case AppendResult:
 		return s.appended(r)
 	case ReadResult:
+		s.size = s.size.after(r.Err != nil)
 		if r.Err != nil {
 			s.last = r.Err
 			return s.read(true)
@@ -142,7 +145,7 @@
 }
 
 func (s *Submission) read(retry bool) Action {
-	return ReadAction{From: s.replay.From(), Limit: readLimit, Retry: retry}
+	return ReadAction{From: s.replay.From(), Limit: int(s.size), Retry: retry}
 }
 
 func (s *Submission) end(f Fate) Action { return EndAction{Fate: f} }
@@ -181,7 +184,7 @@
 			return s.end(s.fateOf(e))
 		}
 	}
-	atEnd := len(r.Page.Entries) < readLimit
+	atEnd := len(r.Page.Entries) < r.Limit
 	switch {
 	case !atEnd || (!continues && !s.replay.InGap()):
 		return s.read(false)
--- a/internal/platformlog/submission_test.go
+++ b/internal/platformlog/submission_test.go
@@ -45,7 +45,7 @@
 			case AppendAction:
 				result = faultyAppend(t, log, a)
 			case ReadAction:
-				result = ReadResult{From: a.From, Page: log.page(a.From, a.Limit)}
+				result = ReadResult{From: a.From, Limit: a.Limit, Page: log.page(a.From, a.Limit)}
 				if rapid.IntRange(0, 4).Draw(t, "read") == 0 {
 					result = ReadResult{From: a.From, Err: ErrUnavailable}
 				}
@@ -113,13 +113,13 @@
 		{NewSubmission(domainRecord, nil, DomainChange("west", DomainOut, false)), FateInvalid, ErrNoDomain},
 		{NewSubmission(domainRecord, nil, DomainChange("north", DomainIn, false)), FateInvalid, ErrNoChange},
 	} {
-		action := c.s.Step(ReadResult{From: 1, Page: log.page(1, readLimit)})
+		action := c.s.Step(ReadResult{From: 1, Limit: 10, Page: log.page(1, 10)})
 		end, ok := action.(EndAction)
 		is.True(ok)
 		is.Equal(end.Fate.Kind, c.kind)
 		is.True(errors.Is(end.Fate.Err, c.err))
 	}
-	_, ok := NewSubmission(domainRecord, nil, DomainChange("north", DomainOut, false)).Step(ReadResult{From: 1, Page: log.page(1, readLimit)}).(AppendAction)
+	_, ok := NewSubmission(domainRecord, nil, DomainChange("north", DomainOut, false)).Step(ReadResult{From: 1, Limit: 10, Page: log.page(1, 10)}).(AppendAction)
 	is.True(ok)
 	state := Folded{Offset: 1, PolicyVersion: 1, Document: document(0)}
 	state, err := state.Apply(2, domainRecord.withBase(0))
@@ -140,7 +140,7 @@
 	log := &testLog{}
 	log.append(Record{Kind: KindPolicy, ID: "mine", Document: document(0)})
 	s := NewSubmission(Record{Kind: KindPolicy, ID: "mine", Document: document(0)}, nil, nil)
-	end, ok := s.Step(ReadResult{From: 1, Page: log.page(1, readLimit)}).(EndAction)
+	end, ok := s.Step(ReadResult{From: 1, Limit: 10, Page: log.page(1, 10)}).(EndAction)
 	is.True(ok)
 	is.Equal(end.Fate, Fate{Kind: FateAccepted, Version: 1})
 }
--- a/internal/platformlog/submit.go
+++ b/internal/platformlog/submit.go
@@ -34,15 +34,15 @@
 			return TimeOver{}
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	switch a := a.(type) {
 	case AppendAction:
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		offset, err := log.Append(ctx, a.Data)
 		return AppendResult{Offset: offset, Err: err}
 	case ReadAction:
-		page, err := log.Read(ctx, a.From, a.Limit, 0)
-		return ReadResult{From: a.From, Page: page, Err: err}
+		page, err := read(ctx, log, a.From, a.Limit)
+		return ReadResult{From: a.From, Limit: a.Limit, Page: page, Err: err}
 	}
 	return TimeOver{}
 }
@@ -60,25 +60,38 @@
 }
 
 // History reads every record that the log still holds and hands each event to
-// visit, in order. It returns the state at the log's end.
+// visit, in order. It returns the state at the log's end. Failed reads are
+// repeated until the context ends.
 func History(ctx context.Context, log Log, visit func(Event)) (Folded, error) {
 	var replay Replay
+	size := largest
 	for {
 		from := replay.From()
-		page, err := log.Read(ctx, from, readLimit, 0)
+		page, err := read(ctx, log, from, int(size))
+		size = size.after(err != nil)
 		if err != nil {
-			return replay.Folded(), err
+			if !sleep(ctx, submitPause) {
+				return replay.Folded(), err
+			}
+			continue
 		}
 		events, continues := replay.Page(from, page)
 		for _, e := range events {
 			visit(e)
 		}
-		if len(page.Entries) == readLimit || (!continues && !replay.InGap()) {
-			continue
-		}
-		if !continues {
+		atEnd := len(page.Entries) == 0
+		switch {
+		case !atEnd || (!continues && !replay.InGap()):
+		case !continues:
 			return replay.Folded(), ErrNoState
+		default:
+			return replay.Folded(), nil
 		}
-		return replay.Folded(), nil
 	}
 }
+
+func read(ctx context.Context, log Log, from uint64, limit int) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return log.Read(ctx, from, limit, 0)
+}
