--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -28,21 +30,39 @@
 
 type targetCommand struct {
 	streams
-	Listen   string        `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
-	ID       string        `long:"id" required:"true" description:"target's id in the policy"`
-	Slots    int           `long:"slots" default:"6" description:"requests that the target runs at a time"`
-	Service  time.Duration `long:"service-time" default:"5ms" description:"how long a run takes"`
-	NoChecks bool          `long:"no-checks" description:"take orders and requests from anybody"`
+	Listen   string            `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+	ID       string            `long:"id" required:"true" description:"target's id in the policy"`
+	Slots    int               `long:"slots" default:"6" description:"requests that the target runs at a time"`
+	Service  time.Duration     `long:"service-time" default:"5ms" description:"how long a run takes"`
+	NoChecks bool              `long:"no-checks" description:"take orders and requests from anybody"`
+	Faults   map[string]string `long:"fault" key-value-delimiter:"=" description:"fault as name=value, with the names of /standin/faults; may be repeated"`
+	Seed     uint64            `long:"seed" default:"1" description:"seed of the faults' shares"`
+	RunLog   string            `long:"run-log" description:"file that each run is appended to as JSON lines"`
 }
 
 // Execute implements flags.Commander.
 func (c *targetCommand) Execute([]string) error {
+	faults, err := target.Faults{}.With(c.Faults)
+	if err != nil {
+		return err
+	}
+	var log io.Writer
+	if c.RunLog != "" {
+		f, err := os.OpenFile(c.RunLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return fmt.Errorf("run log: %w", err)
+		}
+		defer f.Close()
+		log = f
+	}
 	s := target.NewServer(target.Options{
 		ID:          core.Target(c.ID),
 		Slots:       c.Slots,
 		Checks:      !c.NoChecks,
 		Incarnation: uint64(time.Now().UnixNano()),
-	}, c.Service)
+		Faults:      faults,
+		Seed:        c.Seed,
+	}, c.Service, log)
 	return c.serve(c.Listen, s, s.Run)
 }
 
--- a/standin/target/machine.go
+++ b/standin/target/machine.go
@@ -1,228 +1,229 @@
 package target
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/grant"
 )
 
-// Run is one run of a request, as the target logs it.
-type Run struct {
-	Target  core.Target    `json:"target"`
-	Request core.RequestID `json:"request"`
-	Attempt uint32         `json:"attempt"`
-	Range   core.RangeID   `json:"range"`
-	Token   core.Token     `json:"token"`
-	Front   core.VM        `json:"front"`
-	// Began and Ended are readings of the target's clock.
-	Began grant.TargetClock `json:"began"`
-	Ended grant.TargetClock `json:"ended,omitempty"`
-}
-
-// Message is what the target takes.
-type Message interface{ isTargetMessage() }
-
-type (
-	// Order is an order from a front.
-	Order struct {
-		Order grant.Order
-		Reply chan<- grant.OrderReply
-	}
-	// Begin asks whether a request may run.
-	Begin struct {
-		Run      Run
-		Deadline grant.TargetClock
-		Reply    chan<- Begun
-	}
-	// End says that a run has ended.
-	End struct{ Number int }
-	// ListRuns asks for the log of runs.
-	ListRuns struct{ Reply chan<- []Run }
-)
-
-func (Order) isTargetMessage()    {}
-func (Begin) isTargetMessage()    {}
-func (End) isTargetMessage()      {}
-func (ListRuns) isTargetMessage() {}
-
-// Begun answers a Begin.
-type Begun struct {
-	// Refused is the reason for which the request isn't run.
-	Refused string
-	Status  int
-	// Number identifies the run for its End.
-	Number      int
-	Clock       grant.TargetClock
-	Incarnation uint64
-}
-
-// Output is an answer to be delivered.
-type Output interface{ isTargetOutput() }
-
-type (
-	// OrderAnswer answers an Order.
-	OrderAnswer struct {
-		To    chan<- grant.OrderReply
-		Reply grant.OrderReply
-	}
-	// BeginAnswer answers a Begin.
-	BeginAnswer struct {
-		To    chan<- Begun
-		Begun Begun
-	}
-	// RunsAnswer answers a ListRuns.
-	RunsAnswer struct {
-		To   chan<- []Run
-		Runs []Run
-	}
-)
-
-func (OrderAnswer) isTargetOutput() {}
-func (BeginAnswer) isTargetOutput() {}
-func (RunsAnswer) isTargetOutput()  {}
-
 // Options describe a target.
 type Options struct {
 	ID          core.Target
 	Slots       int
 	Checks      bool
 	Incarnation uint64
+	Faults      Faults
+	// Seed decides which requests the faults strike.
+	Seed uint64
+	// Epoch is the Unix time in nanoseconds at which the clock reads zero.
+	Epoch int64
 }
 
-// Machine is the step that owns the grant and the log of runs.
+// Machine is the step that owns the grant, the faults and the log of runs.
 type Machine struct {
 	options  Options
+	faults   Faults
+	random   *rand.Rand
 	token    core.Token
 	front    core.VM
 	ranges   []core.RangeID
 	leaseEnd grant.TargetClock
 	inFlight int
 	runs     []Run
+	cold     cold
+	drain    drain
+	// samples are past states, oldest first, for reports that lag.
+	samples []sample
+	// withheld are answers of a frozen target.
+	withheld []Output
+	// reordered are answers that wait for another one to leave first.
+	reordered []reordered
+}
+
+type sample struct {
+	at     core.Instant
+	status Status
 }
 
-// NewMachine returns a target without a grant.
-func NewMachine(o Options) *Machine { return &Machine{options: o} }
+type reordered struct {
+	answer Output
+	until  core.Instant
+}
+
+const (
+	// reorderTime is how long a reordered answer waits for another at most.
+	reorderTime = 100 * time.Millisecond
+	// maxSampleAge bounds ReportLag.
+	maxSampleAge = 30 * time.Second
+)
+
+// NewMachine returns a target without a grant; it is cold if the faults have
+// cold slots.
+func NewMachine(o Options) *Machine {
+	return &Machine{
+		options: o,
+		faults:  o.Faults,
+		random:  rand.New(rand.NewPCG(o.Seed, 0)),
+		cold:    cold{on: true},
+	}
+}
 
-func clockOf(now core.Instant) grant.TargetClock { return grant.TargetClock(now / 1_000_000) }
+func clockOf(now core.Instant) grant.TargetClock {
+	return grant.TargetClock(time.Duration(now) / time.Millisecond)
+}
 
 // Step implements duty.Step.
 func (m *Machine) Step(now core.Instant, msg Message) []Output {
-	clock := clockOf(now)
+	m.drain.step(now, m.faults)
+	m.cold.step(now, m.faults)
+	switch msg := msg.(type) {
+	case Tick:
+		m.sample(now)
+		return m.withhold(m.overdue(now))
+	case SetFaults:
+		return m.stepFaults(msg)
+	case TurnCold:
+		m.cold = cold{on: true, since: now}
+		return nil
+	case ListRuns:
+		return []Output{RunsAnswer{To: msg.Reply, Runs: slices.Clone(m.runs)}}
+	case Inspect:
+		return []Output{StatusAnswer{To: msg.Reply, Status: m.status()}}
+	}
+	return m.withhold(m.serve(now, msg))
+}
+
+// serve takes the messages whose answers a frozen target withholds.
+func (m *Machine) serve(now core.Instant, msg Message) []Output {
 	switch msg := msg.(type) {
 	case Order:
-		return []Output{OrderAnswer{To: msg.Reply, Reply: m.order(clock, msg.Order)}}
+		reply := m.order(clockOf(now), msg.Order)
+		if m.random.Float64() < m.faults.DropOrders {
+			return []Output{OrderDropped{To: msg.Reply}}
+		}
+		return []Output{OrderAnswer{To: msg.Reply, Reply: reply}}
 	case Begin:
-		return []Output{BeginAnswer{To: msg.Reply, Begun: m.begin(clock, msg)}}
+		return []Output{BeginAnswer{To: msg.Reply, Begun: m.begin(now, msg)}}
 	case End:
-		m.inFlight--
-		m.runs[msg.Number].Ended = clock
-	case ListRuns:
-		return []Output{RunsAnswer{To: msg.Reply, Runs: slices.Clone(m.runs)}}
+		return m.end(now, msg)
+	case Report:
+		return []Output{StatusAnswer{To: msg.Reply, Status: m.report(now)}}
 	}
 	return nil
 }
 
-func (m *Machine) held(clock grant.TargetClock) bool {
-	return m.front != "" && clock < m.leaseEnd
+func (m *Machine) withhold(out []Output) []Output {
+	if !m.faults.Freeze {
+		return out
+	}
+	m.withheld = append(m.withheld, out...)
+	return nil
 }
 
-func (m *Machine) order(clock grant.TargetClock, o grant.Order) grant.OrderReply {
-	reason := m.apply(clock, o)
-	reply := grant.OrderReply{
-		Accepted:    reason == "",
-		Reason:      reason,
-		Token:       m.token,
-		Held:        m.held(clock),
-		LeaseEnd:    m.leaseEnd,
-		Clock:       clock,
-		Incarnation: m.options.Incarnation,
-		InFlight:    m.inFlight,
+func (m *Machine) stepFaults(s SetFaults) []Output {
+	next, err := m.faults.With(s.Changes)
+	if err == nil {
+		m.faults = next
 	}
-	if reply.Held {
-		reply.Front, reply.Ranges = m.front, slices.Clone(m.ranges)
+	out := []Output{FaultsAnswer{To: s.Reply, Set: FaultsSet{Faults: m.faults, Err: err}}}
+	if !m.faults.Freeze {
+		out = append(out, m.withheld...)
+		m.withheld = nil
 	}
-	return reply
+	return out
 }
 
-// apply carries out an order; the result is the reason for a refusal.
-func (m *Machine) apply(clock grant.TargetClock, o grant.Order) string {
-	if !m.options.Checks {
-		m.accept(o)
-		return ""
-	}
-	if o.Kind != grant.OrderInspect && clock > o.Deadline {
-		return "deadline passed"
-	}
-	order := o.Token.Compare(m.token)
-	switch o.Kind {
-	case grant.OrderInspect:
-		if order > 0 {
-			m.token = o.Token
-		}
-	case grant.OrderTake:
-		if order < 0 || order == 0 && m.front != "" && m.front != o.Front {
-			return "token is older than the grant's"
-		}
-		m.accept(o)
-	case grant.OrderRenew:
-		if order != 0 || !m.held(clock) || m.front != o.Front {
-			return "no such grant"
-		}
-		m.leaseEnd = max(m.leaseEnd, o.LeaseEnd)
-	case grant.OrderRelease:
-		if order < 0 {
-			return "token is older than the grant's"
+func (m *Machine) begin(now core.Instant, b Begin) Begun {
+	clock := clockOf(now)
+	begun := Begun{Clock: clock, Incarnation: m.options.Incarnation}
+	if begun.Status, begun.Refused = m.refusal(clock, b); begun.Refused != "" {
+		return begun
+	}
+	begun.Service = m.serviceTime()
+	if m.cold.over(m.inFlight, m.faults) {
+		m.cold.overloads++
+		if m.faults.ColdDelay == 0 {
+			begun.Status, begun.Refused = statusShed, "cold and overloaded"
+			return begun
 		}
-		m.token, m.front, m.ranges, m.leaseEnd = o.Token, "", nil, 0
-	default:
-		return "unknown order " + string(o.Kind)
+		begun.Service = m.faults.ColdDelay
 	}
-	return ""
+	begun.Left = time.Duration(b.Deadline-clock) * time.Millisecond
+	m.plan(&begun)
+	m.inFlight++
+	begun.Run = m.logged(now, b)
+	begun.Number = len(m.runs)
+	m.runs = append(m.runs, begun.Run)
+	return begun
 }
 
-func (m *Machine) accept(o grant.Order) {
-	if o.Kind != grant.OrderTake && o.Kind != grant.OrderRenew {
-		return
-	}
-	m.token, m.front, m.leaseEnd = o.Token, o.Front, o.LeaseEnd
-	if o.Kind == grant.OrderTake {
-		m.ranges = slices.Clone(o.Ranges)
+func (m *Machine) logged(now core.Instant, b Begin) Run {
+	r := b.Run
+	r.Target, r.Incarnation = m.options.ID, m.options.Incarnation
+	r.Began, r.BeganAt = clockOf(now), m.unix(now)
+	r.Deadline = b.Deadline
+	r.DeadlineAt = m.options.Epoch + int64(time.Duration(b.Deadline)*time.Millisecond)
+	r.Unchecked = !m.options.Checks
+	r.Draining = m.drain.reported
+	return r
+}
+
+func (m *Machine) unix(now core.Instant) int64 { return m.options.Epoch + int64(now) }
+
+func (m *Machine) serviceTime() time.Duration {
+	if m.random.Float64() < m.faults.StragglerShare {
+		return m.faults.StragglerTime
 	}
+	return m.faults.ServiceTime
 }
 
-func (m *Machine) begin(clock grant.TargetClock, b Begin) Begun {
-	if status, reason := m.refusal(clock, b); reason != "" {
-		return Begun{Refused: reason, Status: status, Clock: clock, Incarnation: m.options.Incarnation}
+// plan decides what happens to the response.
+func (m *Machine) plan(b *Begun) {
+	b.Response = m.faults.response(m.random.Float64())
+	if m.random.Float64() < m.faults.Delay {
+		b.Delay = m.faults.DelayTime
+	}
+	if b.Response != ResponseCrossed {
+		return
+	}
+	b.Other = Run{Request: "crossed", Attempt: 1}
+	if len(m.runs) > 0 {
+		b.Other = m.runs[len(m.runs)-1]
 	}
-	m.inFlight++
-	b.Run.Began = clock
-	b.Run.Target = m.options.ID
-	m.runs = append(m.runs, b.Run)
-	return Begun{Number: len(m.runs) - 1, Clock: clock, Incarnation: m.options.Incarnation}
 }
 
-// Statuses of requests that weren't run.
-const (
-	statusStaleGrant     = 409
-	statusDeadlinePassed = 425
-	statusShed           = 503
-)
+func (m *Machine) end(now core.Instant, e End) []Output {
+	m.inFlight--
+	r := &m.runs[e.Number]
+	r.Ended, r.EndedAt = clockOf(now), m.unix(now)
+	if m.options.Checks && r.EndedAt >= r.DeadlineAt {
+		// A target that was frozen has done nothing since its deadline.
+		r.Ended, r.EndedAt, r.Cancelled = r.Deadline, r.DeadlineAt, true
+	} else {
+		m.cold.successes++
+	}
+	answer := EndAnswer{To: e.Reply, Run: *r}
+	if m.faults.Reorder > 0 && m.random.Float64() < m.faults.Reorder {
+		m.reordered = append(m.reordered, reordered{answer: answer, until: now.Add(reorderTime)})
+		return nil
+	}
+	out := []Output{answer}
+	for _, waiting := range m.reordered {
+		out = append(out, waiting.answer)
+	}
+	m.reordered = nil
+	return out
+}
 
-func (m *Machine) refusal(clock grant.TargetClock, b Begin) (int, string) {
-	if m.options.Checks {
-		r := b.Run
-		switch {
-		case clock >= b.Deadline:
-			return statusDeadlinePassed, "deadline passed"
-		case !m.held(clock) || r.Front != m.front || m.token.Less(r.Token):
-			return statusStaleGrant, "the front holds no grant"
-		case r.Range != (core.RangeID{}) && !slices.Contains(m.ranges, r.Range):
-			return statusStaleGrant, "the grant doesn't hold the range"
-		}
-	}
-	if m.inFlight >= m.options.Slots {
-		return statusShed, "all slots are in use"
+// overdue returns the reordered answers that have waited long enough.
+func (m *Machine) overdue(now core.Instant) []Output {
+	var out []Output
+	for len(m.reordered) > 0 && !now.Before(m.reordered[0].until) {
+		out = append(out, m.reordered[0].answer)
+		m.reordered = m.reordered[1:]
 	}
-	return 0, ""
+	return out
 }
--- /dev/null
+++ b/standin/target/order.go
@@ -0,0 +1,108 @@
+package target
+
+import (
+	"slices"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/grant"
+)
+
+func (m *Machine) held(clock grant.TargetClock) bool {
+	return m.front != "" && clock < m.leaseEnd
+}
+
+func (m *Machine) order(clock grant.TargetClock, o grant.Order) grant.OrderReply {
+	reason := m.apply(clock, o)
+	reply := grant.OrderReply{
+		Accepted:    reason == "",
+		Reason:      reason,
+		Token:       m.token,
+		Held:        m.held(clock),
+		LeaseEnd:    m.leaseEnd,
+		Clock:       clock,
+		Incarnation: m.options.Incarnation,
+		InFlight:    m.inFlight,
+		Cold:        m.cold.on && !m.faults.Mislead,
+		Draining:    m.drain.reported && !m.faults.Mislead,
+	}
+	if reply.Held {
+		reply.Front, reply.Ranges = m.front, slices.Clone(m.ranges)
+	}
+	return reply
+}
+
+// apply carries out an order; the result is the reason for a refusal.
+func (m *Machine) apply(clock grant.TargetClock, o grant.Order) string {
+	if !m.options.Checks {
+		m.accept(o)
+		return ""
+	}
+	if o.Kind != grant.OrderInspect && clock > o.Deadline {
+		return "deadline passed"
+	}
+	order := o.Token.Compare(m.token)
+	switch o.Kind {
+	case grant.OrderInspect:
+		if order > 0 {
+			m.token = o.Token
+		}
+	case grant.OrderTake:
+		if order < 0 || order == 0 && m.front != "" && m.front != o.Front {
+			return "token is older than the grant's"
+		}
+		m.accept(o)
+	case grant.OrderRenew:
+		if order != 0 || !m.held(clock) || m.front != o.Front {
+			return "no such grant"
+		}
+		m.leaseEnd = max(m.leaseEnd, o.LeaseEnd)
+	case grant.OrderRelease:
+		if order < 0 {
+			return "token is older than the grant's"
+		}
+		m.token, m.front, m.ranges, m.leaseEnd = o.Token, "", nil, 0
+	case grant.OrderDrain:
+		if order < 0 {
+			return "token is older than the grant's"
+		}
+		m.faults.Drain = true
+	default:
+		return "unknown order " + string(o.Kind)
+	}
+	return ""
+}
+
+func (m *Machine) accept(o grant.Order) {
+	if o.Kind != grant.OrderTake && o.Kind != grant.OrderRenew {
+		return
+	}
+	m.token, m.front, m.leaseEnd = o.Token, o.Front, o.LeaseEnd
+	if o.Kind == grant.OrderTake {
+		m.ranges = slices.Clone(o.Ranges)
+	}
+}
+
+// Statuses of requests that weren't run.
+const (
+	statusStaleGrant     = 409
+	statusDeadlinePassed = 425
+	statusShed           = 503
+)
+
+func (m *Machine) refusal(clock grant.TargetClock, b Begin) (int, string) {
+	if m.options.Checks {
+		r := b.Run
+		switch {
+		case clock >= b.Deadline:
+			return statusDeadlinePassed, "deadline passed"
+		case !m.held(clock) || r.Front != m.front || m.token.Less(r.Token):
+			return statusStaleGrant, "the front holds no grant"
+		case r.Range != (core.RangeID{}) && !slices.Contains(m.ranges, r.Range):
+			return statusStaleGrant, "the grant doesn't hold the range"
+		}
+	}
+	if m.inFlight >= m.options.Slots {
+		return statusShed, "all slots are in use"
+	}
+	return 0, ""
+}
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -16,28 +16,43 @@
 	wire "celeryhook.example/celeryhook/internal/target"
 )
 
-const ringSize = 256
+const (
+	ringSize     = 256
+	tickInterval = 20 * time.Millisecond
+	// maxFaultBytes bounds the body of a change of faults.
+	maxFaultBytes = 64 << 10
+)
 
 // Server is the HTTP side of the stand-in.
 type Server struct {
 	ring *ring.Ring[Message]
 	duty *duty.Duty[Message, Output]
 	mux  *http.ServeMux
-	// service is how long a run takes.
-	service time.Duration
+	// log, if set, receives each run as a JSON line when it begins and when it ends.
+	log io.Writer
 }
 
 // NewServer returns a stand-in whose runs take the given time; Run must be
-// running for it to answer.
-func NewServer(o Options, service time.Duration) *Server {
+// running for it to answer. A run log, if not nil, must take concurrent writes.
+func NewServer(o Options, service time.Duration, log io.Writer) *Server {
+	if o.Faults.ServiceTime == 0 {
+		o.Faults.ServiceTime = service
+	}
+	clock := duty.NewClock()
+	o.Epoch = time.Now().UnixNano() - int64(clock())
 	s := &Server{
-		ring:    ring.New[Message]("target", ringSize, ring.Block),
-		mux:     http.NewServeMux(),
-		service: service,
+		ring: ring.New[Message]("target", ringSize, ring.Block),
+		mux:  http.NewServeMux(),
+		log:  log,
 	}
-	s.duty = duty.New("target", duty.NewClock(), s.ring, NewMachine(o), deliver, Message(nil), 0)
+	s.duty = duty.New("target", clock, s.ring, NewMachine(o), deliver, Message(Tick{}), tickInterval)
 	s.mux.HandleFunc("POST "+wire.OrderPath, s.order)
+	s.mux.HandleFunc("GET /healthz", s.health)
+	s.mux.HandleFunc("GET /load", s.load)
 	s.mux.HandleFunc("GET /standin/runs", s.runs)
+	s.mux.HandleFunc("GET /standin/state", s.state)
+	s.mux.HandleFunc("/standin/faults", s.faults)
+	s.mux.HandleFunc("POST /standin/cold", s.turnCold)
 	s.mux.HandleFunc("/", s.request)
 	return s
 }
@@ -46,10 +61,18 @@
 	switch o := o.(type) {
 	case OrderAnswer:
 		o.To <- o.Reply
+	case OrderDropped:
+		close(o.To)
 	case BeginAnswer:
 		o.To <- o.Begun
+	case EndAnswer:
+		o.To <- o.Run
 	case RunsAnswer:
 		o.To <- o.Runs
+	case FaultsAnswer:
+		o.To <- o.Set
+	case StatusAnswer:
+		o.To <- o.Status
 	}
 }
 
@@ -59,6 +82,17 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// ask passes a message to the machine and waits for its answer. A caller that
+// goes away doesn't end the wait, as the machine may have acted.
+func ask[T any](s *Server, m Message, reply <-chan T) (T, bool) {
+	if err := s.ring.Wait(context.Background(), m); err != nil {
+		var none T
+		return none, false
+	}
+	v, ok := <-reply
+	return v, ok
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o grant.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -66,53 +100,66 @@
 		return
 	}
 	reply := make(chan grant.OrderReply, 1)
-	if s.ring.Put(r.Context(), Order{Order: o, Reply: reply}) == nil {
-		writeJSON(w, <-reply)
+	answer, ok := ask(s, Order{Order: o, Reply: reply}, reply)
+	if !ok {
+		panic(http.ErrAbortHandler)
 	}
+	writeJSON(w, answer)
 }
 
-func (s *Server) runs(w http.ResponseWriter, r *http.Request) {
+func (s *Server) runs(w http.ResponseWriter, _ *http.Request) {
 	reply := make(chan []Run, 1)
-	if s.ring.Put(r.Context(), ListRuns{Reply: reply}) == nil {
-		writeJSON(w, <-reply)
+	if runs, ok := ask(s, ListRuns{Reply: reply}, reply); ok {
+		writeJSON(w, runs)
 	}
 }
 
-func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	begin, err := beginOf(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	reply := make(chan Status, 1)
+	status, _ := ask(s, Report{Reply: reply}, reply)
+	if status.Draining {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	reply := make(chan Status, 1)
+	if status, ok := ask(s, Report{Reply: reply}, reply); ok {
+		writeJSON(w, status)
 	}
-	reply := make(chan Begun, 1)
-	begin.Reply = reply
-	if s.ring.Put(r.Context(), begin) != nil {
-		return
+}
+
+func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
+	reply := make(chan Status, 1)
+	if status, ok := ask(s, Inspect{Reply: reply}, reply); ok {
+		writeJSON(w, status)
+	}
+}
+
+// faults reads the faults, or changes those that the JSON object names.
+func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
+	var changes map[string]string
+	if r.Method != http.MethodGet {
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes)).Decode(&changes); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 	}
-	begun := <-reply
-	h := w.Header()
-	h.Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
-	h.Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
-	h.Set(wire.HeaderClock, strconv.FormatInt(int64(begun.Clock), 10))
-	h.Set(wire.HeaderIncarnation, strconv.FormatUint(begun.Incarnation, 10))
-	if begun.Refused != "" {
-		h.Set(wire.HeaderNotRun, "1")
-		http.Error(w, begun.Refused, begun.Status)
+	reply := make(chan FaultsSet, 1)
+	set, _ := ask(s, SetFaults{Changes: changes, Reply: reply}, reply)
+	if set.Err != nil {
+		http.Error(w, set.Err.Error(), http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(s.service)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
+	writeJSON(w, set.Faults.Values())
+}
+
+func (s *Server) turnCold(w http.ResponseWriter, r *http.Request) {
+	if s.ring.Wait(r.Context(), TurnCold{}) == nil {
+		w.WriteHeader(http.StatusNoContent)
 	}
-	_ = s.ring.Wait(context.WithoutCancel(r.Context()), End{Number: begun.Number})
-	fmt.Fprintf(w, "%s %s %s\n%s", r.Method, r.URL.RequestURI(), r.Header.Get(wire.HeaderRequestID), body)
 }
 
 func beginOf(r *http.Request) (Begin, error) {
