app: a dialer that scenario tests decorate

Cause: a cut between processes on one machine can't be made without an isolation tool, which the project doesn't use.

Change: all outgoing connections of an entry VM go through app.Dialer, whose default is net.Dialer; command.Main takes fx options, by which a test binary decorates it. There is no setting for it.

--- /dev/null
+++ b/internal/app/dialer.go
@@ -0,0 +1,20 @@
+package app
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Dialer opens the connections of a process to VMs, targets and the platform.
+// Scenario tests decorate it to cut links; no setting changes it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	dialTimeout   = 2 * time.Second
+	dialKeepAlive = 15 * time.Second
+)
+
+func newDialer() Dialer { return &net.Dialer{Timeout: dialTimeout, KeepAlive: dialKeepAlive} }
--- a/internal/app/module.go
+++ b/internal/app/module.go
@@ -27,6 +27,7 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			duty.NewClock,
+			newDialer,
 			newTracer,
 			newPlatform,
 			NewProcess,
@@ -44,8 +45,8 @@
 	return tracer, nil
 }
 
-func newPlatform(s settings.Entry) platformlog.Log {
-	return platformlog.NewHTTPLog(s.Platform, &http.Client{Transport: newTransport()})
+func newPlatform(s settings.Entry, d Dialer) platformlog.Log {
+	return platformlog.NewHTTPLog(s.Platform, &http.Client{Transport: newTransport(d)})
 }
 
 func registerProcess(lc fx.Lifecycle, p *Process) {
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -68,7 +68,7 @@
 }
 
 // NewProcess returns a process that isn't running yet.
-func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, platform platformlog.Log) *Process {
+func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, platform platformlog.Log, dialer Dialer) *Process {
 	p := &Process{
 		settings:    s,
 		clock:       clock,
@@ -85,17 +85,18 @@
 		peerPool:    duty.NewPool("peer-io", 16, controlRing),
 		targetPool:  duty.NewPool("target-io", 32, controlRing),
 	}
-	p.peers = peer.NewClient(&http.Client{Transport: newTransport()}, clock, tracer)
-	p.targets = target.NewClient(s.VM, &http.Client{Transport: newTransport()})
+	p.peers = peer.NewClient(&http.Client{Transport: newTransport(dialer)}, clock, tracer)
+	p.targets = target.NewClient(s.VM, &http.Client{Transport: newTransport(dialer)})
 	p.local = forward.NewLocal(clock, p.fronts, p.targets, tracer)
 	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, tracer)
 	p.acceptor = accept.New(clock, p.entry)
 	return p
 }
 
-func newTransport() *http.Transport {
+func newTransport(d Dialer) *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
+	t.DialContext = d.DialContext
 	t.MaxIdleConnsPerHost = 128
 	t.MaxIdleConns = 0
 	t.DisableCompression = true
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
 )
 
 // Exit codes.
@@ -20,12 +21,13 @@
 // streams are where a command writes to.
 type streams struct{ out, err io.Writer }
 
-// Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+// Main runs the command line and returns the exit code. Tests pass options
+// that decorate parts of an entry VM.
+func Main(args []string, stdout, stderr io.Writer, options ...fx.Option) int {
 	s := streams{out: stdout, err: stderr}
 	parser := flags.NewNamedParser("celeryhook", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for servers that own their keys exclusively"
-	add(parser, "entry", "Run an entry VM", "Runs an entry VM until it gets SIGTERM or SIGINT.", &entryCommand{streams: s})
+	add(parser, "entry", "Run an entry VM", "Runs an entry VM until it gets SIGTERM or SIGINT.", &entryCommand{streams: s, options: options})
 	add(parser, "standin-platform", "Run the platform's stand-in", "Runs a stand-in of the platform for trials.", &platformCommand{streams: s})
 	add(parser, "standin-target", "Run a target's stand-in", "Runs a stand-in of a target for trials.", &targetCommand{streams: s})
 	_, err := parser.ParseArgs(args)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -18,6 +18,7 @@
 
 type entryCommand struct {
 	streams
+	options []fx.Option
 	Settings string `short:"s" long:"settings" required:"true" description:"settings file (INI)"`
 }
 
@@ -29,7 +30,7 @@
 	}
 	log, flush := observe.NewLogger(c.err)
 	defer flush()
-	return runApp(fx.New(app.Module(s, log)), s.StopTimeout)
+	return runApp(fx.New(app.Module(s, log), fx.Options(c.options...)), s.StopTimeout)
 }
 
 // runApp runs an fx application until a signal arrives.
