scenario: a script language over separate processes, and the thin path

Cause: the promises of the design page concern several processes; tests of single packages don't show them.

Commands start, kill, stop, continue and restart platform, targets and VMs, submit a policy, set faults, cut links by a dialer that holds back bytes, send single requests and loads, and check over the run logs of all targets that ranges have one owner at a time, run counts agree with answers, and every answer is that of its request.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -18,7 +18,7 @@
 
 type entryCommand struct {
 	streams
-	options []fx.Option
+	options  []fx.Option
 	Settings string `short:"s" long:"settings" required:"true" description:"settings file (INI)"`
 }
 
--- /dev/null
+++ b/scenario/doc.go
@@ -0,0 +1,34 @@
+// Package scenario tests the whole program: entry VMs, targets and the
+// platform's stand-in as separate processes on loopback, driven by the scripts
+// in testdata. Scripts in testdata/pending wait for parts that are not built
+// yet; each says in its first lines for which.
+//
+// A script asserts safety at every moment, by its check command over the run
+// logs of all targets, and progress under a generous deadline, never a speed.
+//
+// Commands beside those of testscript; ID is the name of a process:
+//
+//	platform [FLAG...]                 start the platform's stand-in
+//	target ID SERVICE DOMAIN [FLAG...] start a target; it becomes part of later policies
+//	vm ID DOMAIN [FILE]                start an entry VM; FILE adds settings
+//	submit FILE                        submit a policy, to which all targets are added
+//	kill, stop, cont, term, restart ID...
+//	                                   SIGKILL, SIGSTOP, SIGCONT, SIGTERM with exit code 0, start again
+//	who VAR coordinator DOMAIN         set VAR to the VM that the log names
+//	who VAR front TARGET               set VAR to the VM that sent the target's last run
+//	fault ID NAME=VALUE...             set faults of a stand-in
+//	cold ID                            make a target cold without warning
+//	overloads ID MAX                   check how often a cold target got more than it bears
+//	cut A B, heal                      cut the links between two of: ID, DOMAIN, platform; heal all
+//	served [via=ID,ID] [keys=N] REQUEST...
+//	                                   wait until every key is answered by every VM
+//	send ID REQUEST [id=ID] [body=TEXT] want=OUTCOME,OUTCOME
+//	                                   send one request
+//	load NAME for=TIME rate=N [via=ID,ID] [keys=N] REQUEST...
+//	                                   start a load in the background
+//	await NAME [want=OUTCOME,OUTCOME]  wait for a load; only these outcomes may occur
+//	quiet ID...                        wait until targets begin no run for a second
+//	check                              check safety over all runs and answers so far
+//
+// A REQUEST is METHOD:PATH, in which {k} stands for a key.
+package scenario
