--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/standin/target"
 )
 
@@ -34,11 +36,11 @@
 		}},
 		"vm":        {2, commandVM},
 		"submit":    {1, commandSubmit},
-		"kill":      {1, each((*world).kill)},
-		"term":      {1, each((*world).term)},
-		"cont":      {1, each((*world).cont)},
+		"sigkill":   {1, each((*world).kill)},
+		"sigterm":   {1, each((*world).term)},
+		"sigcont":   {1, each((*world).cont)},
 		"restart":   {1, each((*world).restart)},
-		"stop":      {1, each(func(_ *world, p *process) error { p.stopped = true; return p.signal(syscall.SIGSTOP) })},
+		"sigstop":   {1, each(func(_ *world, p *process) error { p.stopped = true; return p.signal(syscall.SIGSTOP) })},
 		"who":       {3, commandWho},
 		"fault":     {2, commandFault},
 		"cold":      {1, commandCold},
@@ -50,6 +52,11 @@
 		"load":      {2, commandLoad},
 		"await":     {1, commandAwait},
 		"pause":     {1, commandPause},
+		"http":      {4, commandHTTP},
+		"domain": {2, func(w *world, _ *testscript.TestScript, args []string) (string, error) {
+			return "", w.setDomain(args[0], platformlog.DomainState(args[1]))
+		}},
+		"candidates": {2, commandCandidates},
 		"quiet": {1, func(w *world, _ *testscript.TestScript, args []string) (string, error) {
 			return w.quiet(args)
 		}},
@@ -103,7 +110,19 @@
 }
 
 func commandSubmit(w *world, ts *testscript.TestScript, args []string) (string, error) {
-	return "", w.submit(w.policy(ts.ReadFile(args[0])))
+	var documents []string
+	extra := make(map[string]string)
+	for _, arg := range args {
+		if id, line, ok := strings.Cut(arg, "."); ok && strings.Contains(line, "=") {
+			extra[id] += line + "\n"
+		}
+	}
+	for _, arg := range args {
+		if !strings.Contains(arg, "=") {
+			documents = append(documents, w.policy(ts.ReadFile(arg), extra))
+		}
+	}
+	return "", w.submit(documents...)
 }
 
 func commandWho(w *world, ts *testscript.TestScript, args []string) (string, error) {
@@ -116,15 +135,18 @@
 		}
 		name = string(folded.Terms[core.FailureDomain(args[2])].Coordinator)
 	case "front":
-		runs, err := w.runsOf(args[2])
-		if err != nil {
+		var err error
+		if name, err = w.frontOf(args[2]); err != nil {
 			return "", err
 		}
-		if len(runs) > 0 {
-			name = string(runs[len(runs)-1].Front)
+	case "plain-front":
+		for _, t := range w.of(kindTarget) {
+			if front, err := w.frontOf(t.id); t.domain == args[2] && err == nil && front != args[3] {
+				name = front
+			}
 		}
 	default:
-		return "", fmt.Errorf("%q is neither coordinator nor front", args[1])
+		return "", fmt.Errorf("%q is not coordinator, front or plain-front", args[1])
 	}
 	if name == "" {
 		return "", fmt.Errorf("%s of %s is not known", args[1], args[2])
@@ -133,6 +155,53 @@
 	return args[0] + " is " + name, nil
 }
 
+// frontOf returns the VM that sent a target's last run.
+func (w *world) frontOf(id string) (string, error) {
+	runs, err := w.runsOf(id)
+	if err != nil || len(runs) == 0 {
+		return "", fmt.Errorf("%s has run nothing: %w", id, err)
+	}
+	return string(runs[len(runs)-1].Front), nil
+}
+
+func commandCandidates(w *world, _ *testscript.TestScript, args []string) (string, error) {
+	return "", eventually("candidates of "+args[0], func() error {
+		folded, err := w.readLog()
+		if err != nil {
+			return err
+		}
+		if got := len(folded.Terms[core.FailureDomain(args[0])].Candidates); strconv.Itoa(got) != args[1] {
+			return fmt.Errorf("there are %d, wanted %s", got, args[1])
+		}
+		return nil
+	})
+}
+
+// commandHTTP sends a body to a listener of a process and checks the status:
+// http METHOD ID callers|peers|operators|main PATH STATUS [BODY].
+func commandHTTP(w *world, _ *testscript.TestScript, args []string) (string, error) {
+	p, err := w.process(args[1])
+	if err != nil {
+		return "", err
+	}
+	address := map[string]string{"callers": p.callers, "peers": p.address, "operators": p.operators, "main": p.address}[args[2]]
+	req, err := http.NewRequest(args[0], "http://"+address+args[3], strings.NewReader(strings.Join(args[5:], " ")))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := w.http.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err == nil && strconv.Itoa(res.StatusCode) != args[4] {
+		err = fmt.Errorf("status %d, wanted %s", res.StatusCode, args[4])
+	}
+	return fmt.Sprintf("%d %.200s", res.StatusCode, body), err
+}
+
 func commandFault(w *world, _ *testscript.TestScript, args []string) (string, error) {
 	p, err := w.process(args[0])
 	if err != nil {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,15 +11,20 @@
 //	platform [FLAG...]                 start the platform's stand-in
 //	target ID SERVICE DOMAIN [FLAG...] start a target; it becomes part of later policies
 //	vm ID DOMAIN [FILE]                start an entry VM; FILE adds settings
-//	submit FILE                        submit a policy, to which all targets are added
-//	kill, stop, cont, term, restart ID...
-//	                                   SIGKILL, SIGSTOP, SIGCONT, SIGTERM with exit code 0, start again
+//	submit FILE... [ID.KEY=VALUE...]   submit a policy, to which all targets are added; of several
+//	                                   with the same base the first must win
+//	domain NAME in|out|lost            change the state of a failure domain
+//	candidates DOMAIN N                wait until the term in force has N candidates
+//	sigkill, sigstop, sigcont, sigterm, restart ID...
+//	                                   send the signal, wait for exit code 0 after sigterm, start again
 //	who VAR coordinator DOMAIN         set VAR to the VM that the log names
 //	who VAR front TARGET               set VAR to the VM that sent the target's last run
+//	who VAR plain-front DOMAIN ID      set VAR to a VM that is a front and isn't ID
 //	fault ID NAME=VALUE...             set faults of a stand-in
 //	cold ID                            make a target cold without warning
 //	overloads ID MAX                   check how often a cold target got more than it bears
-//	cut A B, heal                      cut the links between two of: ID, DOMAIN, platform; heal all
+//	cut A B, heal                      cut the links between two of: ID, DOMAIN, DOMAIN:vm, platform;
+//	                                   heal all
 //	served [via=ID,ID] [keys=N] REQUEST...
 //	                                   wait until every key is answered by every VM
 //	send ID REQUEST [id=ID] [body=TEXT] want=OUTCOME,OUTCOME
@@ -28,7 +33,10 @@
 //	                                   start a load in the background
 //	await NAME [want=OUTCOME,OUTCOME]  wait for a load; only these outcomes may occur
 //	quiet ID...                        wait until targets begin no run for a second
+//	http METHOD ID LISTENER PATH STATUS [BODY]
+//	                                   send anything to callers, peers, operators or main
 //	check                              check safety over all runs and answers so far
 //
-// A REQUEST is METHOD:PATH, in which {k} stands for a key.
+// A REQUEST is METHOD:PATH, in which {k} stands for a key. via=!ID stands for
+// all running VMs but those named.
 package scenario
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -41,6 +41,9 @@
 		Cmds:                commands(),
 		Setup: func(env *testscript.Env) error {
 			places <- struct{}{}
+			if err := os.CopyFS(filepath.Join(env.WorkDir, "common"), os.DirFS("testdata/common")); err != nil {
+				return err
+			}
 			w := newWorld(env)
 			env.Values[worldKey{}] = w
 			env.Defer(func() {
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -140,7 +140,7 @@
 		}
 	}
 	if o.via == nil {
-		o.via = slices.DeleteFunc(w.of(kindVM), func(p *process) bool { return !p.running() || p.stopped })
+		o.via = w.usable()
 	}
 	return o, nil
 }
@@ -155,13 +155,7 @@
 	var err error
 	switch name {
 	case "via":
-		for _, id := range strings.Split(value, ",") {
-			p, err := w.process(id)
-			if err != nil {
-				return err
-			}
-			o.via = append(o.via, p)
-		}
+		o.via, err = w.via(value)
 	case "keys":
 		o.keys, err = strconv.Atoi(value)
 	case "rate":
@@ -180,6 +174,28 @@
 	return err
 }
 
+// via reads a list of VMs; one with ! before it stands for all but those.
+func (w *world) via(list string) ([]*process, error) {
+	list, others := strings.CutPrefix(list, "!")
+	var named []*process
+	for _, id := range strings.Split(list, ",") {
+		p, err := w.process(id)
+		if err != nil {
+			return nil, err
+		}
+		named = append(named, p)
+	}
+	if !others {
+		return named, nil
+	}
+	return slices.DeleteFunc(w.usable(), func(p *process) bool { return slices.Contains(named, p) }), nil
+}
+
+// usable returns the VMs that run.
+func (w *world) usable() []*process {
+	return slices.DeleteFunc(w.of(kindVM), func(p *process) bool { return !p.running() || p.stopped })
+}
+
 // served waits until every VM answers every request for every key, in one pass.
 func (w *world) served(o options) error {
 	return eventually("served", func() error {
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -229,57 +229,78 @@
 	}
 }
 
-// submit appends a policy and reports whether it came into force.
-func (w *world) submit(document string) error {
-	folded, err := w.readLog()
+// appendRecord appends a record and returns its offset.
+func (w *world) appendRecord(r platformlog.Record) (uint64, error) {
+	r.ID, r.Author = uuid.NewString(), "scenario"
+	data, err := r.Encode()
 	if err != nil {
-		return err
-	}
-	record := platformlog.Record{
-		Kind: platformlog.KindPolicy, ID: uuid.NewString(), Author: "scenario",
-		Base: folded.PolicyVersion, Document: document,
+		return 0, err
 	}
-	data, err := record.Encode()
+	return platformlog.NewHTTPLog(w.platformURL(), w.http).Append(context.Background(), data)
+}
+
+// submit appends policies that replace the version in force; exactly one must
+// come into force.
+func (w *world) submit(documents ...string) error {
+	folded, err := w.readLog()
 	if err != nil {
 		return err
 	}
-	offset, err := platformlog.NewHTTPLog(w.platformURL(), w.http).Append(context.Background(), data)
-	if err != nil {
-		return err
+	var offsets []uint64
+	for _, d := range documents {
+		offset, err := w.appendRecord(platformlog.Record{Kind: platformlog.KindPolicy, Base: folded.PolicyVersion, Document: d})
+		if err != nil {
+			return err
+		}
+		offsets = append(offsets, offset)
 	}
 	if folded, err = w.readLog(); err != nil {
 		return err
 	}
-	if folded.PolicyVersion != offset {
-		return fmt.Errorf("policy at offset %d is not in force, version %d is", offset, folded.PolicyVersion)
+	if folded.PolicyVersion != offsets[0] {
+		return fmt.Errorf("policy at offset %d is not in force, version %d is", offsets[0], folded.PolicyVersion)
 	}
 	return nil
 }
 
-// policy returns a document with a section for each target that it doesn't list.
-func (w *world) policy(document string) string {
+// setDomain changes the state of a failure domain.
+func (w *world) setDomain(name string, state platformlog.DomainState) error {
+	folded, err := w.readLog()
+	if err != nil {
+		return err
+	}
+	_, err = w.appendRecord(platformlog.Record{
+		Kind: platformlog.KindDomain, Base: folded.Delegation.Number,
+		FailureDomain: core.FailureDomain(name), State: state,
+	})
+	return err
+}
+
+// policy returns a document with a section for each target, to which extra
+// lines may be added.
+func (w *world) policy(document string, extra map[string]string) string {
 	var s strings.Builder
 	s.WriteString(document)
 	for _, t := range w.of(kindTarget) {
-		if strings.Contains(document, "[target "+t.id+"]") {
-			continue
-		}
 		fmt.Fprintf(&s, "\n[target %s]\nservice = %s\nfailure_domain = %s\naddress = %s\nslots = 6\n",
 			t.id, t.service, t.domain, t.address)
 		if slices.Contains(t.args, "--no-checks") {
 			s.WriteString("checks_grants = no\n")
 		}
+		s.WriteString(extra[t.id])
 	}
 	return s.String()
 }
 
 func (w *world) cutFile(id string) string { return filepath.Join(w.dir, "cuts", id) }
 
-// members returns the processes that a name of a cut stands for.
+// members returns the processes that a name of a cut stands for; DOMAIN:vm
+// stands for the VMs of a failure domain.
 func (w *world) members(name string) []*process {
 	var out []*process
+	domain, only, _ := strings.Cut(name, ":")
 	for _, p := range w.processes {
-		if p.id == name || p.domain == name {
+		if p.id == name || p.domain == domain && (only == "" || only == string(p.kind)) {
 			out = append(out, p)
 		}
 	}
