settings: report every fault of a file at once

Cause: a value that didn't parse fell back to its default without a word, unknown keys were ignored, and only the first fault was reported.

--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,12 +1,11 @@
 package settings
 
 import (
-	"fmt"
+	"net/netip"
+	"net/url"
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
 	"celeryhook.example/celeryhook/internal/core"
 )
 
@@ -20,13 +19,26 @@
 	CallersAddress   string
 	PeersAddress     string
 	OperatorsAddress string
+	Callers          Callers
 	// Platform is the base URL of the platform.
 	Platform string
 	Peers    []Peer
 	// TraceExporter is none, stdout or otlp.
 	TraceExporter string
 	TraceEndpoint string
-	StopTimeout   time.Duration
+	// StopTimeout bounds the whole of a graceful stop.
+	StopTimeout time.Duration
+	// StopSettle is how long a stopping VM that is no longer ready still
+	// accepts connections.
+	StopSettle time.Duration
+}
+
+// Callers bounds what a caller's connection may take. Zero means no bound.
+type Callers struct {
+	HeaderTimeout time.Duration
+	ReadTimeout   time.Duration
+	IdleTimeout   time.Duration
+	HeaderBytes   int
 }
 
 // Peer is another VM whose address is known from the start.
@@ -36,33 +48,98 @@
 	Address       string
 }
 
-// LoadEntry reads and checks the settings of an entry VM.
+const anyPort = "127.0.0.1:0"
+
+// LoadEntry reads and checks the settings of an entry VM from a file's path
+// or contents. The error is Faults, or wraps ErrSyntax.
 func LoadEntry(source any) (Entry, error) {
-	file, err := ini.Load(source)
+	r, err := newReader(source)
 	if err != nil {
-		return Entry{}, fmt.Errorf("settings: %w", err)
+		return Entry{}, err
 	}
 	e := Entry{
-		VM:               core.VM(file.Section("vm").Key("id").String()),
-		FailureDomain:    core.FailureDomain(file.Section("vm").Key("failure_domain").String()),
-		Capacity:         uint32(file.Section("vm").Key("capacity").MustUint(1)),
-		CallersAddress:   file.Section("listen").Key("callers").MustString("127.0.0.1:0"),
-		PeersAddress:     file.Section("listen").Key("peers").MustString("127.0.0.1:0"),
-		OperatorsAddress: file.Section("listen").Key("operators").MustString("127.0.0.1:0"),
-		Platform:         file.Section("platform").Key("address").String(),
-		TraceExporter:    file.Section("trace").Key("exporter").MustString("none"),
-		TraceEndpoint:    file.Section("trace").Key("endpoint").String(),
-		StopTimeout:      file.Section("stop").Key("timeout").MustDuration(20 * time.Second),
+		VM:               core.VM(r.name("vm", "id")),
+		FailureDomain:    core.FailureDomain(r.name("vm", "failure_domain")),
+		Capacity:         uint32(r.number("vm", "capacity", 1, 1, 1000)),
+		CallersAddress:   r.listener("listen", "callers", anyPort),
+		PeersAddress:     r.listener("listen", "peers", anyPort),
+		OperatorsAddress: r.listener("listen", "operators", anyPort),
+		Callers: Callers{
+			HeaderTimeout: r.duration("callers", "header_timeout", 5*time.Second, 10*time.Millisecond, time.Minute),
+			ReadTimeout:   r.duration("callers", "read_timeout", 30*time.Second, 10*time.Millisecond, 10*time.Minute),
+			IdleTimeout:   r.duration("callers", "idle_timeout", time.Minute, time.Second, time.Hour),
+			HeaderBytes:   int(r.number("callers", "header_bytes", 64<<10, 4<<10, 1<<20)),
+		},
+		Platform:      r.base("platform", "address"),
+		TraceExporter: r.choice("trace", "exporter", "none", "none", "stdout", "otlp"),
+		StopTimeout:   r.duration("stop", "timeout", 20*time.Second, 100*time.Millisecond, 10*time.Minute),
+		StopSettle:    r.duration("stop", "settle", time.Second, 0, time.Minute),
 	}
-	for _, k := range file.Section("peers").Keys() {
-		domain, address, ok := strings.Cut(k.String(), "@")
-		if !ok {
-			return Entry{}, fmt.Errorf("settings: [peers] %s: %q has not the form failure-domain@address", k.Name(), k.String())
-		}
-		e.Peers = append(e.Peers, Peer{VM: core.VM(k.Name()), FailureDomain: core.FailureDomain(domain), Address: address})
+	if e.StopTimeout > 0 && e.StopSettle > e.StopTimeout/2 {
+		r.fault("stop", "settle", "%s is more than half of [stop] timeout, %s", e.StopSettle, e.StopTimeout)
 	}
-	if e.VM == "" || e.FailureDomain == "" || e.Platform == "" {
-		return Entry{}, fmt.Errorf("settings: [vm] id, [vm] failure_domain and [platform] address are required")
+	r.advertised("listen", "peers", e.PeersAddress)
+	e.TraceEndpoint = r.endpoint(e.TraceExporter)
+	e.Peers = r.peers()
+	if err := r.finish(); err != nil {
+		return Entry{}, err
 	}
 	return e, nil
 }
+
+// advertised rejects an address that other VMs can't use: this listener's
+// address is what the VM tells them.
+func (r *reader) advertised(section, key, v string) {
+	if a, err := netip.ParseAddrPort(v); err == nil && a.Addr().IsUnspecified() {
+		r.fault(section, key, "%q isn't the address of one interface; other VMs are told this address", v)
+	}
+}
+
+func (r *reader) endpoint(exporter string) string {
+	v, ok := r.value("trace", "endpoint")
+	switch {
+	case exporter == "otlp" && v == "":
+		r.fault("trace", "endpoint", "is missing; [trace] exporter = otlp needs it")
+	case exporter != "otlp" && ok:
+		r.fault("trace", "endpoint", "has no effect unless [trace] exporter is otlp")
+	case ok:
+		u, err := url.Parse(v)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" {
+			r.fault("trace", "endpoint", "%q has not the form http://IP:port/path", v)
+		} else if fault := addressFault(u.Host, false); fault != "" {
+			r.fault("trace", "endpoint", "%s", fault)
+		}
+	}
+	return v
+}
+
+func (r *reader) peers() []Peer {
+	s, err := r.file.GetSection("peers")
+	if err != nil {
+		return nil
+	}
+	var out []Peer
+	r.know("peers", "")
+	for _, k := range s.Keys() {
+		v, ok := r.value("peers", k.Name())
+		if !ok {
+			continue
+		}
+		if fault := nameFault(k.Name()); fault != "" {
+			r.fault("peers", k.Name(), "%s", fault)
+		}
+		domain, address, ok := strings.Cut(v, "@")
+		if !ok || domain == "" {
+			r.fault("peers", k.Name(), "%q has not the form failure-domain@IP:port", v)
+			continue
+		}
+		if fault := addressFault(address, false); fault != "" {
+			r.fault("peers", k.Name(), "%s", fault)
+		}
+		if fault := nameFault(domain); fault != "" {
+			r.fault("peers", k.Name(), "failure domain %s", fault)
+		}
+		out = append(out, Peer{VM: core.VM(k.Name()), FailureDomain: core.FailureDomain(domain), Address: address})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/fault.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// ErrSyntax wraps the error of a file that can't be read as INI.
+var ErrSyntax = errors.New("settings: file isn't valid INI")
+
+// Fault is one reason for which settings are rejected.
+type Fault struct {
+	Section string
+	Key     string
+	Reason  string
+}
+
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("[%s]: %s", f.Section, f.Reason)
+	}
+	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Reason)
+}
+
+// Faults are all reasons for which settings are rejected, sorted by section
+// and key.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = "\n  " + fault.String()
+	}
+	return fmt.Sprintf("settings: %d faults:%s", len(f), strings.Join(lines, ""))
+}
+
+func (f Faults) sorted() Faults {
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		if c := strings.Compare(a.Section, b.Section); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return f
+}
