observe: count every event and carry the trace to targets

Cause: nothing was counted, and the trace context of a request ended at its front. Change: a go-metrics registry with bounded names, shown as text and JSON at /metrics of the operators' listener; a step that counts a duty's messages and outputs by type, with hooks for orders, rejections, retries and skipped records; gauges for every ring and pool; a span and a counter for each hop; a transport that adds the W3C context to requests to targets.

--- /dev/null
+++ b/internal/app/count.go
@@ -0,0 +1,103 @@
+package app
+
+import (
+	"errors"
+	"strconv"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/front"
+	"celeryhook.example/celeryhook/internal/grant"
+	"celeryhook.example/celeryhook/internal/platformlog"
+	"celeryhook.example/celeryhook/internal/route"
+)
+
+// skipReasons name the reasons for which a log record is skipped.
+var skipReasons = map[error]string{
+	platformlog.ErrRecord:   "undecodable",
+	platformlog.ErrRepeat:   "repeat",
+	platformlog.ErrStale:    "stale",
+	platformlog.ErrAuthor:   "author",
+	platformlog.ErrDocument: "document",
+	platformlog.ErrOrder:    "order",
+}
+
+func skipReason(err error) string {
+	for sentinel, name := range skipReasons {
+		if errors.Is(err, sentinel) {
+			return name
+		}
+	}
+	return "other"
+}
+
+func (p *Process) countReaderMessage(m platformlog.Message) {
+	if read, ok := m.(platformlog.PageRead); ok {
+		p.metrics.Latency(p.clock().Sub(read.Began), "log_read")
+	}
+}
+
+func (p *Process) countReaderOutput(o platformlog.Output) {
+	if skipped, ok := o.(platformlog.Skipped); ok {
+		p.metrics.Count("log", "skipped", skipReason(skipped.Err))
+	}
+}
+
+func (p *Process) countGrantMessage(m grant.Message) {
+	done, ok := m.(grant.OrderDone)
+	if !ok {
+		return
+	}
+	result := "accepted"
+	switch {
+	case done.NotSent:
+		result = "not_sent"
+	case done.Err != nil:
+		result = "no_response"
+	case !done.Reply.Accepted:
+		result = "rejected"
+	}
+	p.metrics.Count("orders", string(done.Order.Kind), result)
+	p.metrics.Latency(done.Received.Sub(done.Sent), "order", string(done.Order.Kind))
+}
+
+func (p *Process) countFrontMessage(m front.Message) {
+	switch m := m.(type) {
+	case front.Submit:
+		if m.Request.Attempt > 1 {
+			p.metrics.Count("front", "repeated_attempts")
+		}
+	case front.Finished:
+		p.metrics.Count("front", "finished", string(m.Outcome))
+		p.metrics.Latency(m.Latency, "target", string(m.Request.Service))
+	}
+}
+
+func (p *Process) countFrontOutput(o front.Output) {
+	a, ok := o.(front.Answer)
+	if !ok {
+		return
+	}
+	if a.Decision.Dispatch != nil {
+		p.metrics.Count("front", "dispatched")
+		return
+	}
+	p.metrics.Count("rejections", "front", string(a.Decision.Outcome))
+}
+
+func (p *Process) countRouteMessage(m route.Message) {
+	if lookup, ok := m.(route.Lookup); ok && lookup.Request.Attempt > 1 {
+		p.metrics.Count("retries", string(lookup.Request.Service), attemptName(lookup.Request.Attempt))
+	}
+}
+
+// attemptName bounds the number of names; later attempts are rare.
+func attemptName(attempt uint32) string {
+	const most = 8
+	return strconv.FormatUint(uint64(min(attempt, most)), 10)
+}
+
+func (p *Process) countRouteOutput(o route.Output) {
+	if a, ok := o.(route.Answer); ok && a.Decision.Outcome != "" && a.Decision.Outcome != core.OutcomeAnswered {
+		p.metrics.Count("rejections", "route", string(a.Decision.Outcome))
+	}
+}
--- a/internal/app/module.go
+++ b/internal/app/module.go
@@ -29,6 +29,7 @@
 			duty.NewClock,
 			newTracer,
 			newPlatform,
+			observe.NewMetrics,
 			NewProcess,
 		),
 		fx.Invoke(registerProcess),
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -16,6 +16,7 @@
 	"celeryhook.example/celeryhook/internal/front"
 	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/membership"
+	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/peer"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/ring"
@@ -44,6 +45,7 @@
 	clock    duty.Clock
 	log      logr.Logger
 	tracer   trace.Tracer
+	metrics  *observe.Metrics
 	platform platformlog.Log
 
 	reader      *ring.Ring[platformlog.Message]
@@ -68,12 +70,13 @@
 }
 
 // NewProcess returns a process that isn't running yet.
-func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, platform platformlog.Log) *Process {
+func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, metrics *observe.Metrics, platform platformlog.Log) *Process {
 	p := &Process{
 		settings:    s,
 		clock:       clock,
 		log:         log,
-		tracer:      tracer,
+		tracer:      observe.CountHops(tracer, metrics),
+		metrics:     metrics,
 		platform:    platform,
 		reader:      ring.New[platformlog.Message]("platformlog", controlRing, ring.Block),
 		members:     ring.New[membership.Message]("membership", controlRing, ring.DropOldest),
@@ -85,14 +88,24 @@
 		peerPool:    duty.NewPool("peer-io", 16, controlRing),
 		targetPool:  duty.NewPool("target-io", 32, controlRing),
 	}
-	p.peers = peer.NewClient(&http.Client{Transport: newTransport()}, clock, tracer)
-	p.targets = target.NewClient(s.VM, &http.Client{Transport: newTransport()})
-	p.local = forward.NewLocal(clock, p.fronts, p.targets, tracer)
-	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, tracer)
+	p.peers = peer.NewClient(&http.Client{Transport: newTransport()}, clock, p.tracer)
+	p.targets = target.NewClient(s.VM, &http.Client{Transport: observe.TraceTransport(newTransport())})
+	p.local = forward.NewLocal(clock, p.fronts, p.targets, p.tracer)
+	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, p.tracer)
 	p.acceptor = accept.New(clock, p.entry)
+	p.showRings()
 	return p
 }
 
+func (p *Process) showRings() {
+	for _, r := range []observe.Ring{p.reader, p.members, p.coordinator, p.grants, p.fronts, p.routes} {
+		p.metrics.Ring(r)
+	}
+	for _, pool := range []*duty.Pool{p.logPool, p.peerPool, p.targetPool} {
+		p.metrics.Pool(pool.Ring())
+	}
+}
+
 func newTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
@@ -126,12 +139,21 @@
 	p.runPool(ctx, p.logPool)
 	p.runPool(ctx, p.peerPool)
 	p.runPool(ctx, p.targetPool)
-	p.run(ctx, duty.New("platformlog", p.clock, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("membership", p.clock, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("coordinate", p.clock, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("grant", p.clock, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("front", p.clock, p.fronts, front.New(), p.emitFront, front.Message(front.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("route", p.clock, p.routes, route.New(s.FailureDomain), p.emitRoute, route.Message(route.Tick{}), tickInterval).Run)
+	start(ctx, p, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
+	start(ctx, p, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), nil, nil)
+	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
+	start(ctx, p, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
+	start(ctx, p, p.fronts, front.New(), p.emitFront, front.Message(front.Tick{}), p.countFrontMessage, p.countFrontOutput)
+	start(ctx, p, p.routes, route.New(s.FailureDomain), p.emitRoute, route.Message(route.Tick{}), p.countRouteMessage, p.countRouteOutput)
+}
+
+// start runs one duty on its own goroutine. The hooks count messages and
+// outputs beyond their number by type and may be nil.
+func start[M, O any](ctx context.Context, p *Process, in *ring.Ring[M], step duty.Step[M, O],
+	emit func(context.Context, O), tick M, onMessage func(M), onOutput func(O),
+) {
+	counted := observe.NewStep(p.metrics, in.Name(), step, onMessage, onOutput)
+	p.run(ctx, duty.New(in.Name(), p.clock, in, counted, emit, tick, tickInterval).Run)
 }
 
 // stopDuties ends all goroutines and waits for them.
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -97,6 +97,7 @@
 func (p *Process) operatorHandler() http.Handler {
 	e := gin.New()
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/metrics", gin.WrapH(p.metrics))
 	e.GET("/readyz", func(c *gin.Context) {
 		_, maps, err := p.newer(c.Request.Context(), 0, nil)
 		if err != nil || len(maps) == 0 {
--- a/internal/observe/trace.go
+++ b/internal/observe/trace.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
-
-	"go.opentelemetry.io/otel/attribute"
 )
 
 // NewTracer returns a tracer that exports as the settings say, and a function
@@ -21,6 +22,7 @@
 	var err error
 	switch exporter {
 	case "none":
+		// This tracer passes a caller's trace context on unchanged.
 		return noop.NewTracerProvider().Tracer("celeryhook"), func(context.Context) error { return nil }, nil
 	case "stdout":
 		exp, err = stdouttrace.New()
@@ -41,3 +43,35 @@
 	)
 	return provider.Tracer("celeryhook"), provider.Shutdown, nil
 }
+
+type hopTracer struct {
+	trace.Tracer
+	metrics *Metrics
+}
+
+// CountHops returns a tracer that also counts the spans it starts, of which
+// each hop of a request has one.
+func CountHops(t trace.Tracer, m *Metrics) trace.Tracer { return hopTracer{Tracer: t, metrics: m} }
+
+// Start implements trace.Tracer.
+func (t hopTracer) Start(ctx context.Context, name string, options ...trace.SpanStartOption) (context.Context, trace.Span) {
+	t.metrics.Count("hops", name)
+	return t.Tracer.Start(ctx, name, options...)
+}
+
+type traceTransport struct{ base http.RoundTripper }
+
+// TraceTransport returns a transport that adds the W3C trace context of the
+// request's span to the request.
+func TraceTransport(base http.RoundTripper) http.RoundTripper { return traceTransport{base: base} }
+
+// RoundTrip implements http.RoundTripper.
+func (t traceTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !trace.SpanContextFromContext(r.Context()).IsValid() {
+		return t.base.RoundTrip(r)
+	}
+	// A RoundTripper must not change the request that it is given.
+	r = r.Clone(r.Context())
+	propagation.TraceContext{}.Inject(r.Context(), propagation.HeaderCarrier(r.Header))
+	return t.base.RoundTrip(r)
+}
