accept: answer every fault of a caller with a counted problem

Cause: faults below the handler got plain text or no answer, a body that was too large got 400, keys were taken as they came, a panic ended the connection, and a policy with routes that gin refuses ended the process.

--- a/internal/accept/problem.go
+++ b/internal/accept/problem.go
@@ -30,7 +30,21 @@
 	core.OutcomeBadRequest: {Title: "The request is at fault and was not run", Status: http.StatusBadRequest},
 }
 
-func writeProblem(w http.ResponseWriter, outcome core.Outcome, detail string, id core.RequestID, retryAfter time.Duration) {
+// fault says what is wrong with a caller's request.
+type fault struct {
+	// reason is the name under which the fault is counted.
+	reason string
+	status int
+	detail string
+}
+
+func (f *fault) Error() string { return f.detail }
+
+func badRequest(reason, detail string) *fault {
+	return &fault{reason: reason, status: http.StatusBadRequest, detail: detail}
+}
+
+func problemOf(outcome core.Outcome, detail string, id core.RequestID) Problem {
 	if outcome == core.OutcomeMoved {
 		// Moved is a matter between VMs; to a caller it is a request not run.
 		outcome = core.OutcomeNotRun
@@ -43,6 +57,16 @@
 	p.Type = ProblemBase + string(outcome)
 	p.Detail = detail
 	p.RequestID = string(id)
+	return p
+}
+
+func (f *fault) problem(id core.RequestID) Problem {
+	p := problemOf(core.OutcomeBadRequest, f.detail, id)
+	p.Status = f.status
+	return p
+}
+
+func writeProblem(w http.ResponseWriter, p Problem, retryAfter time.Duration) {
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -92,7 +92,7 @@
 	p.targets = target.NewClient(s.VM, &http.Client{Transport: observe.TraceTransport(newTransport())})
 	p.local = forward.NewLocal(clock, p.fronts, p.targets, p.tracer)
 	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, p.tracer)
-	p.acceptor = accept.New(clock, p.entry)
+	p.acceptor = accept.New(clock, p.entry, metrics, log)
 	p.showRings()
 	return p
 }
