app: stop without cutting requests; demo: run a deployment in one process

Cause: a stop closed the listeners at once, while the balancer and other VMs still sent, and requests that crossed the close were reset. Change: ready turns false, the VM announces that it leaves, serves on for a settle time with responses that close their connections, waits for requests in flight, then closes the listeners, all within the settings' timeout; requests that cross the close are answered as not run, also towards other VMs. The demo package runs a plan on the stand-ins and carries the test under load. GET /explain shows where a key goes.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -56,7 +56,7 @@
 func (a *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
-	headArrived(r.Context())
+	HeadArrived(r.Context())
 	if a.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -30,12 +31,21 @@
 type Listener struct {
 	net.Listener
 	metrics *observe.Metrics
+	atStop  func() (contentType string, body []byte)
 	closed  atomic.Bool
 }
 
 // NewListener wraps a listener for callers.
 func NewListener(l net.Listener, m *observe.Metrics) *Listener {
-	return &Listener{Listener: l, metrics: m}
+	return NewListenerFor(l, m, func() (string, []byte) {
+		return problemType, encode(problemOf(core.OutcomeNotRun, "the VM is stopping", ""))
+	})
+}
+
+// NewListenerFor wraps a listener whose requests that cross the stop get
+// another answer, with status 503.
+func NewListenerFor(l net.Listener, m *observe.Metrics, atStop func() (contentType string, body []byte)) *Listener {
+	return &Listener{Listener: l, metrics: m, atStop: atStop}
 }
 
 // Accept implements net.Listener.
@@ -54,7 +64,7 @@
 }
 
 // Linger waits until no connection is read any more after Shutdown.
-func (l *Listener) Linger() { time.Sleep(linger) }
+func Linger() { time.Sleep(linger) }
 
 // Bind lets the server tell connections of this listener in which state they
 // are.
@@ -72,8 +82,9 @@
 
 type connKey struct{}
 
-// headArrived notes that a handler has the request's head.
-func headArrived(ctx context.Context) {
+// HeadArrived notes that a handler has the request's head. Handlers of a
+// server that Bind was called for call it first.
+func HeadArrived(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.headPending.Store(false)
 	}
@@ -145,7 +156,8 @@
 	switch {
 	case pending && c.listener.closed.Load():
 		c.listener.metrics.Count("requests_at_stop")
-		_ = c.writeProblem(problemOf(core.OutcomeNotRun, "the VM is stopping", ""))
+		contentType, body := c.listener.atStop()
+		_ = c.answer(http.StatusServiceUnavailable, contentType, body)
 	case pending:
 		_ = c.writeFault(incompleteHead())
 	case c.idle.Load() && c.listener.closed.Load() && !c.lingering.Swap(true):
@@ -167,16 +179,32 @@
 
 func (c *conn) writeFault(f *fault) error {
 	c.listener.metrics.Count("bad_input", f.reason)
-	return c.writeProblem(f.problem(""))
+	return c.answer(f.status, problemType, encode(f.problem("")))
 }
 
-func (c *conn) writeProblem(p Problem) error {
+func encode(p Problem) []byte {
 	body, err := json.Marshal(p)
 	if err != nil {
-		return fmt.Errorf("accept: encode problem: %w", err)
+		return nil // a Problem has only strings and numbers
+	}
+	return body
+}
+
+// drainLimit bounds how long the rest of a request is read before the close.
+const drainLimit = 100 * time.Millisecond
+
+// answer writes a response outside of net/http. It reads what is left of the
+// request, since a close with unread bytes resets the connection, which may
+// take the response with it.
+func (c *conn) answer(status int, contentType string, body []byte) error {
+	_ = c.SetDeadline(time.Now().Add(writeLimit))
+	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), contentType, len(body), body)
+	if err != nil {
+		return fmt.Errorf("accept: answer: %w", err)
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
-	_, err = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		p.Status, http.StatusText(p.Status), len(body), body)
-	return err
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(drainLimit))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, 4<<20))
+	return nil
 }
--- a/internal/accept/problem.go
+++ b/internal/accept/problem.go
@@ -13,6 +13,8 @@
 // ProblemBase precedes the outcome in a problem's type.
 const ProblemBase = "urn:celeryhook:problem:"
 
+const problemType = "application/problem+json"
+
 // Problem is an RFC 9457 problem document.
 type Problem struct {
 	Type      string `json:"type"`
@@ -70,7 +72,7 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
-	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Type", problemType)
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
--- a/internal/app/module.go
+++ b/internal/app/module.go
@@ -50,7 +50,7 @@
 }
 
 func registerProcess(lc fx.Lifecycle, p *Process) {
-	var servers []*http.Server
+	var running servers
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			s := &p.settings
@@ -59,24 +59,13 @@
 				return err
 			}
 			p.startDuties()
-			handlers := []http.Handler{p.acceptor, p.peerHandler(), p.operatorHandler()}
-			for i, l := range open {
-				server := newServer(handlers[i])
-				servers = append(servers, server)
-				go p.serve(server, l)
-			}
+			running = p.startServers(open)
 			p.log.Info("entry VM started", "vm", s.VM, "failure_domain", s.FailureDomain,
 				"callers", s.CallersAddress, "peers", s.PeersAddress, "operators", s.OperatorsAddress)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			for _, server := range servers {
-				if err := server.Shutdown(ctx); err != nil {
-					p.log.Error(err, "listener did not stop in time")
-				}
-			}
-			p.stopDuties()
-			p.log.Info("entry VM stopped", "vm", p.settings.VM)
+			p.stop(ctx, running)
 			return nil
 		},
 	})
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -65,8 +66,10 @@
 	entry    *forward.Entry
 	acceptor *accept.Acceptor
 
-	running sync.WaitGroup
-	cancel  context.CancelFunc
+	// stopping is set once the process is to end; it is no longer ready then.
+	stopping atomic.Bool
+	running  sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // NewProcess returns a process that isn't running yet.
@@ -97,6 +100,10 @@
 	return p
 }
 
+// Settings returns the settings; once the process runs, with the addresses
+// that it listens on.
+func (p *Process) Settings() settings.Entry { return p.settings }
+
 func (p *Process) showRings() {
 	for _, r := range []observe.Ring{p.reader, p.members, p.coordinator, p.grants, p.fronts, p.routes} {
 		p.metrics.Ring(r)
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -16,14 +16,16 @@
 	"celeryhook.example/celeryhook/internal/peer"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/route"
+	"celeryhook.example/celeryhook/internal/settings"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
-)
+// internalLimits bound the connections of other VMs and of operators.
+var internalLimits = settings.Callers{
+	HeaderTimeout: 5 * time.Second,
+	ReadTimeout:   30 * time.Second,
+	IdleTimeout:   60 * time.Second,
+	HeaderBytes:   64 << 10,
+}
 
 func listen(addresses ...*string) ([]net.Listener, error) {
 	var out []net.Listener
@@ -42,13 +44,13 @@
 	return out, nil
 }
 
-func newServer(h http.Handler) *http.Server {
+func newServer(h http.Handler, l settings.Callers) *http.Server {
 	return &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		ReadTimeout:       l.ReadTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.HeaderBytes,
 	}
 }
 
@@ -96,19 +98,32 @@
 
 func (p *Process) operatorHandler() http.Handler {
 	e := gin.New()
+	e.Use(gin.CustomRecoveryWithWriter(nil, func(c *gin.Context, v any) {
+		p.metrics.Count("panics", "operators")
+		p.log.Error(fmt.Errorf("app: panic: %v", v), "operators' handler panicked", "path", c.Request.URL.Path)
+		c.String(http.StatusInternalServerError, "an internal error occurred\n")
+	}))
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", p.serveReady)
 	e.GET("/metrics", gin.WrapH(p.metrics))
-	e.GET("/readyz", func(c *gin.Context) {
-		_, maps, err := p.newer(c.Request.Context(), 0, nil)
-		if err != nil || len(maps) == 0 {
-			c.String(http.StatusServiceUnavailable, "no range map is known yet\n")
-			return
-		}
-		c.String(http.StatusOK, "ready\n")
-	})
+	e.GET("/explain", p.serveExplain)
 	return e
 }
 
+// serveReady tells the balancer whether to send requests to this VM.
+func (p *Process) serveReady(c *gin.Context) {
+	if p.stopping.Load() {
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+		return
+	}
+	_, maps, err := p.newer(c.Request.Context(), 0, nil)
+	if err != nil || len(maps) == 0 {
+		c.String(http.StatusServiceUnavailable, "no range map is known yet\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
 func (p *Process) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error(err, "listener failed", "address", l.Addr().String())
--- /dev/null
+++ b/internal/demo/plan.go
@@ -0,0 +1,190 @@
+package demo
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// Plan describes a deployment at the sizes of docs/design.md section 1.1.
+type Plan struct {
+	Name           string
+	FailureDomains []core.FailureDomain
+	Services       []ServicePlan
+	Routes         string
+	// Booking is the method and path of a booking, Lookup the path of a lookup.
+	Booking, Lookup string
+	// BookingBody is an example of a booking.
+	BookingBody string
+}
+
+// ServicePlan is one service and its targets.
+type ServicePlan struct {
+	Name        core.Service
+	Targets     int
+	Divided     bool
+	Slots       int
+	Connections int
+}
+
+// Plans are the deployments that the demo can run.
+var Plans = map[string]Plan{
+	"bratislava": {
+		Name:           "bratislava",
+		FailureDomains: []core.FailureDomain{"ba-petrzalka", "ba-ruzinov", "ba-dubravka"},
+		Services: []ServicePlan{
+			{Name: "rozvrh", Targets: 10, Divided: true, Slots: 6, Connections: 100},
+			{Name: "rezervacie", Targets: 6, Slots: 6, Connections: 100},
+			{Name: "macky", Targets: 10, Slots: 6, Connections: 100},
+		},
+		Routes: `
+[route slot]
+method = GET
+path = /rozvrh/{slot}
+service = rozvrh
+class = lookup
+key = path:slot
+
+[route slot-booking]
+method = POST
+path = /rozvrh/{slot}/rezervacia
+service = rozvrh
+class = booking
+key = path:slot
+
+[route reservation]
+method = GET
+path = /rezervacie/{id}
+service = rezervacie
+class = lookup
+
+[route reservation-cancel]
+method = DELETE
+path = /rezervacie/{id}
+service = rezervacie
+class = cancellation
+
+[route payment]
+method = POST
+path = /rezervacie/{id}/platba
+service = rezervacie
+class = payment
+missing_id = refuse
+
+[route cat]
+method = GET
+path = /macky/{id}
+service = macky
+class = lookup
+`,
+		Booking: "/rozvrh/2026-12-05T10:00/rezervacia", Lookup: "/rozvrh/2026-12-05T10:00", BookingBody: `{"guests":2}`,
+	},
+	"great-lakes": {
+		Name:           "great-lakes",
+		FailureDomains: []core.FailureDomain{"duluth", "marquette", "thunder-bay"},
+		Services: []ServicePlan{
+			{Name: "template-lib", Targets: 15, Slots: 4, Connections: 60},
+			{Name: "bench-desk", Targets: 6, Slots: 4, Connections: 60},
+			{Name: "class-board", Targets: 15, Divided: true, Slots: 4, Connections: 60},
+		},
+		Routes: `
+[route template]
+method = GET
+path = /templates/{id}
+service = template-lib
+class = lookup
+
+[route bench-booking]
+method = POST
+path = /benches/{id}/bookings
+service = bench-desk
+class = booking
+
+[route bench-cancel]
+method = DELETE
+path = /benches/{id}/bookings/{booking}
+service = bench-desk
+class = cancellation
+
+[route class]
+method = GET
+path = /classes/{class}
+service = class-board
+class = lookup
+key = path:class
+
+[route class-booking]
+method = POST
+path = /classes/{class}/bookings
+service = class-board
+class = booking
+key = path:class
+
+[route class-payment]
+method = POST
+path = /classes/{class}/payments
+service = class-board
+class = payment
+key = path:class
+missing_id = refuse
+`,
+		Booking: "/classes/strip-canoe-2026/bookings", Lookup: "/classes/strip-canoe-2026", BookingBody: `{"seats":1}`,
+	},
+}
+
+// Names returns the names of the plans, sorted.
+func Names() []string {
+	var out []string
+	for name := range Plans {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// targets lists the targets of a plan, spread over the failure domains in turn.
+func (p Plan) targets() []targetPlan {
+	var out []targetPlan
+	for _, s := range p.Services {
+		for i := range s.Targets {
+			out = append(out, targetPlan{
+				id:      core.Target(fmt.Sprintf("%s-%d", s.Name, i+1)),
+				domain:  p.FailureDomains[i%len(p.FailureDomains)],
+				service: s,
+			})
+		}
+	}
+	return out
+}
+
+type targetPlan struct {
+	id      core.Target
+	domain  core.FailureDomain
+	service ServicePlan
+	address string
+}
+
+// document returns the policy of the plan with targets at their addresses.
+func (p Plan) document(targets []targetPlan) string {
+	var b strings.Builder
+	domains := make([]string, len(p.FailureDomains))
+	for i, d := range p.FailureDomains {
+		domains[i] = string(d)
+	}
+	fmt.Fprintf(&b, "[deployment]\nname = %s\nfailure_domains = %s\n\n", p.Name, strings.Join(domains, ", "))
+	for _, s := range p.Services {
+		division := "none"
+		if s.Divided {
+			division = "key"
+		}
+		fmt.Fprintf(&b, "[service %s]\ndivision = %s\n\n", s.Name, division)
+	}
+	for _, t := range targets {
+		fmt.Fprintf(&b, "[target %s]\nservice = %s\nfailure_domain = %s\naddress = %s\nslots = %d\nconnections = %d\n\n",
+			t.id, t.service.Name, t.domain, t.address, t.service.Slots, t.service.Connections)
+	}
+	b.WriteString(strings.TrimPrefix(p.Routes, "\n"))
+	return b.String()
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -106,8 +106,11 @@
 }
 
 // forwardFailed says what a failed exchange proves. Only a failure to connect
-// proves that the front did not get the request.
+// or the word of a VM that stops prove that the front did not get the request.
 func forwardFailed(call forward.Call, address string, err error) forward.Answer {
+	if saysStopping(err) {
+		return forward.Answer{Outcome: core.OutcomeNotRun, Detail: fmt.Sprintf("VM at %s is stopping", address), Target: call.Target}
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return forward.Answer{Outcome: core.OutcomeNotRun, Detail: fmt.Sprintf("VM at %s: %v", address, err), Target: call.Target}
