front: admission, queues, request ids and witnesses

Cause: the front only counted slots and kept one queue, so that a repeated booking ran twice and a lost front lost its request ids. Change: the front queues by class and caller, sheds by deadline, holds requests of moving ranges, ramps cold targets, and remembers the ids of non-idempotent requests at the witnesses before it sends them. The witness duty keeps them for other fronts. The route duty prepares its table when a map changes, chooses among targets by power of two choices, and grants retries and hedges from budgets.

--- a/internal/app/emit_front.go
+++ b/internal/app/emit_front.go
@@ -3,15 +3,28 @@
 import (
 	"context"
 
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/front"
 	"celeryhook.example/celeryhook/internal/grant"
 )
 
 func (p *Process) emitFront(ctx context.Context, o front.Output) {
 	switch o := o.(type) {
+	case front.Remember:
+		p.submitStore(ctx, o)
+	case front.Recall:
+		p.submitRecall(ctx, o)
+	case front.Told:
+		o.To <- o.Memory
+	case front.Report:
+		p.loadMeasured(ctx, o.Load)
 	case front.Answer:
 		o.To <- o.Decision
 	case front.Drained:
 		_ = p.grants.Put(ctx, grant.Drained{Target: o.Target, Ranges: o.Ranges})
 	}
 }
+
+// loadMeasured takes the load of a target about once a second. The coordinator
+// that uses it is joined here.
+func (p *Process) loadMeasured(context.Context, core.TargetLoad) {}
--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -9,6 +9,7 @@
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/policy"
 	"celeryhook.example/celeryhook/internal/route"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 func (p *Process) emitRoute(ctx context.Context, o route.Output) {
@@ -17,6 +18,8 @@
 		o.To <- o.Decision
 	case route.AnswerHeld:
 		o.To <- o.Held
+	case route.AnswerAddress:
+		o.To <- o.Address
 	case route.Changed:
 		_ = p.members.Put(ctx, membership.Versions{LogOffset: o.LogOffset, Maps: o.Maps})
 		if o.Policy == nil {
@@ -26,7 +29,10 @@
 		if o.Own != nil {
 			grants, fronts := assignments(p.settings.VM, o.Policy, o.Own)
 			_ = p.grants.Put(ctx, grant.Assigned{Targets: grants})
-			_ = p.fronts.Put(ctx, front.Assigned{Targets: fronts})
+			remember := o.Policy.Control.Remember
+			// An assignment isn't repeated, so it waits for room.
+			_ = p.fronts.Wait(ctx, front.Assigned{Targets: fronts, Remember: remember})
+			_ = p.witnesses.Wait(ctx, witness.Keep{For: remember})
 		}
 	}
 }
@@ -41,23 +47,39 @@
 			continue
 		}
 		grants[id] = grant.Assignment{Address: t.Address, Token: a.Token}
-		fronts[id] = front.Assignment{Slots: t.Slots}
+		fronts[id] = front.Assignment{
+			Service: t.Service, Slots: t.Slots, Limits: p.Services[t.Service].Limits,
+			Token: a.Token, Leaving: a.Leaving || t.Leaving,
+			Witnesses: a.Witnesses, Previous: a.Previous,
+			Ranges: make(map[core.RangeID]front.Range),
+		}
 	}
 	for id, r := range m.Ranges {
 		g, ok := grants[r.Target]
 		if !ok {
 			continue
 		}
-		f := fronts[r.Target]
 		switch r.State {
 		case core.RangeServing:
 			g.Ranges = append(g.Ranges, id)
-			f.Serving = append(f.Serving, id)
 		case core.RangeMoving:
 			g.Moving = append(g.Moving, id)
-			f.Moving = append(f.Moving, id)
+		default:
+			continue
+		}
+		grants[r.Target] = g
+		fronts[r.Target].Ranges[id] = front.Range{
+			Moving: r.State == core.RangeMoving, MemoryAt: r.MemoryAt, Base: baseOf(p, id),
 		}
-		grants[r.Target], fronts[r.Target] = g, f
 	}
 	return grants, fronts
 }
+
+// baseOf returns the numbered range that a hot key belongs to.
+func baseOf(p *policy.Policy, id core.RangeID) core.RangeID {
+	ranges := p.Services[id.Service].Ranges
+	if id.HotKey == 0 || ranges == 0 {
+		return core.RangeID{}
+	}
+	return core.RangeOf(id.Service, id.HotKey, ranges)
+}
--- /dev/null
+++ b/internal/app/emit_witness.go
@@ -0,0 +1,145 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/front"
+	"celeryhook.example/celeryhook/internal/route"
+	"celeryhook.example/celeryhook/internal/witness"
+)
+
+func (p *Process) emitWitness(_ context.Context, o witness.Output) {
+	switch o := o.(type) {
+	case witness.AnswerStored:
+		o.To <- o.Stored
+	case witness.AnswerMemory:
+		o.To <- o.Memory
+	}
+}
+
+// submitStore sends a batch of request ids to a witness. A refused task counts
+// as a witness that did not answer.
+func (p *Process) submitStore(ctx context.Context, o front.Remember) {
+	done := front.Remembered{Target: o.Batch.Target, At: o.To, Number: o.Number}
+	err := p.memoryPool.Submit(ctx, func(ctx context.Context) {
+		done.Stored = p.storeAt(ctx, o)
+		_ = p.fronts.Wait(context.WithoutCancel(ctx), done)
+	})
+	if err != nil {
+		p.later(ctx, done)
+	}
+}
+
+// submitRecall asks a VM for its memory.
+func (p *Process) submitRecall(ctx context.Context, o front.Recall) {
+	done := front.Recalled{Target: o.Target, From: o.From, Number: o.Number, Ranges: o.Ranges}
+	err := p.memoryPool.Submit(ctx, func(ctx context.Context) {
+		memory, err := p.recallFrom(ctx, o)
+		done.Memory, done.Failed = memory, err != nil
+		_ = p.fronts.Wait(context.WithoutCancel(ctx), done)
+	})
+	if err != nil {
+		done.Failed = true
+		p.later(ctx, done)
+	}
+}
+
+// later posts a result to the front from another goroutine, since the front's
+// own must not wait for its ring.
+func (p *Process) later(ctx context.Context, m front.Message) {
+	go func() { _ = p.fronts.Wait(ctx, m) }()
+}
+
+var errNoAddress = errors.New("app: the VM's address is not known")
+
+func (p *Process) addressOf(ctx context.Context, vm core.VM) (string, error) {
+	reply := make(chan string, 1)
+	if err := p.routes.Put(ctx, route.AddressOf{VM: vm, Reply: reply}); err != nil {
+		return "", err
+	}
+	select {
+	case address := <-reply:
+		if address == "" {
+			return "", fmt.Errorf("%w: %s", errNoAddress, vm)
+		}
+		return address, nil
+	case <-ctx.Done():
+		return "", fmt.Errorf("app: address of %s: %w", vm, ctx.Err())
+	}
+}
+
+func (p *Process) storeAt(ctx context.Context, o front.Remember) witness.Stored {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	address, err := p.addressOf(ctx, o.To)
+	if err != nil {
+		return witness.Stored{}
+	}
+	stored, err := p.peers.Remember(ctx, address, o.Batch)
+	if err != nil {
+		return witness.Stored{}
+	}
+	return stored
+}
+
+func (p *Process) recallFrom(ctx context.Context, o front.Recall) (witness.Memory, error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	if o.From == p.settings.VM {
+		// The front knows its own memory; this VM may also be a witness.
+		return p.recallWitness(ctx, o.Target, o.Ranges)
+	}
+	address, err := p.addressOf(ctx, o.From)
+	if err != nil {
+		return witness.Memory{}, err
+	}
+	return p.peers.Recall(ctx, address, o.Target, o.Ranges)
+}
+
+// storeForPeer stores another front's request ids at this VM.
+func (p *Process) storeForPeer(ctx context.Context, b witness.Batch) (witness.Stored, error) {
+	reply := make(chan witness.Stored, 1)
+	if err := p.witnesses.Put(ctx, witness.Remember{Batch: b, Reply: reply}); err != nil {
+		return witness.Stored{}, err
+	}
+	select {
+	case stored := <-reply:
+		return stored, nil
+	case <-ctx.Done():
+		return witness.Stored{}, fmt.Errorf("app: remember: %w", ctx.Err())
+	}
+}
+
+// recallForPeer joins what this VM remembers as a front and as a witness.
+func (p *Process) recallForPeer(ctx context.Context, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
+	reply := make(chan witness.Memory, 1)
+	if err := p.fronts.Wait(ctx, front.Tell{Target: t, Ranges: ranges, Reply: reply}); err != nil {
+		return witness.Memory{}, err
+	}
+	kept, err := p.recallWitness(ctx, t, ranges)
+	if err != nil {
+		return witness.Memory{}, err
+	}
+	select {
+	case own := <-reply:
+		return own.Join(kept), nil
+	case <-ctx.Done():
+		return witness.Memory{}, fmt.Errorf("app: recall: %w", ctx.Err())
+	}
+}
+
+func (p *Process) recallWitness(ctx context.Context, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
+	reply := make(chan witness.Memory, 1)
+	if err := p.witnesses.Wait(ctx, witness.Recall{Target: t, Ranges: ranges, Reply: reply}); err != nil {
+		return witness.Memory{}, err
+	}
+	select {
+	case memory := <-reply:
+		return memory, nil
+	case <-ctx.Done():
+		return witness.Memory{}, fmt.Errorf("app: recall: %w", ctx.Err())
+	}
+}
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	"celeryhook.example/celeryhook/internal/route"
 	"celeryhook.example/celeryhook/internal/settings"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 const (
@@ -34,6 +36,8 @@
 	tickInterval = 25 * time.Millisecond
 	// rpcTimeout bounds a control message between VMs.
 	rpcTimeout = 250 * time.Millisecond
+	// recallTimeout bounds the answer with all request ids of a few ranges.
+	recallTimeout = time.Second
 	// appendTimeout bounds an append to the log.
 	appendTimeout = 2 * time.Second
 )
@@ -52,10 +56,13 @@
 	grants      *ring.Ring[grant.Message]
 	fronts      *ring.Ring[front.Message]
 	routes      *ring.Ring[route.Message]
+	witnesses   *ring.Ring[witness.Message]
 
 	logPool    *duty.Pool
 	peerPool   *duty.Pool
 	targetPool *duty.Pool
+	// memoryPool stores request ids at witnesses and recalls them.
+	memoryPool *duty.Pool
 
 	peers    *peer.Client
 	targets  *target.Client
@@ -81,9 +88,11 @@
 		grants:      ring.New[grant.Message]("grant", controlRing, ring.Block),
 		fronts:      ring.New[front.Message]("front", requestRing, ring.Refuse),
 		routes:      ring.New[route.Message]("route", requestRing, ring.Block),
+		witnesses:   ring.New[witness.Message]("witness", requestRing, ring.Refuse),
 		logPool:     duty.NewPool("platformlog-io", 4, controlRing),
 		peerPool:    duty.NewPool("peer-io", 16, controlRing),
 		targetPool:  duty.NewPool("target-io", 32, controlRing),
+		memoryPool:  duty.NewPool("memory-io", 32, controlRing),
 	}
 	p.peers = peer.NewClient(&http.Client{Transport: newTransport()}, clock, tracer)
 	p.targets = target.NewClient(s.VM, &http.Client{Transport: newTransport()})
@@ -126,12 +135,14 @@
 	p.runPool(ctx, p.logPool)
 	p.runPool(ctx, p.peerPool)
 	p.runPool(ctx, p.targetPool)
+	p.runPool(ctx, p.memoryPool)
 	p.run(ctx, duty.New("platformlog", p.clock, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), tickInterval).Run)
 	p.run(ctx, duty.New("membership", p.clock, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), tickInterval).Run)
 	p.run(ctx, duty.New("coordinate", p.clock, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), tickInterval).Run)
 	p.run(ctx, duty.New("grant", p.clock, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("front", p.clock, p.fronts, front.New(), p.emitFront, front.Message(front.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("route", p.clock, p.routes, route.New(s.FailureDomain), p.emitRoute, route.Message(route.Tick{}), tickInterval).Run)
+	p.run(ctx, duty.New("front", p.clock, p.fronts, front.New(s.VM), p.emitFront, front.Message(front.Tick{}), front.TickEvery).Run)
+	p.run(ctx, duty.New("witness", p.clock, p.witnesses, witness.NewKeeper(), p.emitWitness, witness.Message(witness.Tick{}), time.Second).Run)
+	p.run(ctx, duty.New("route", p.clock, p.routes, route.New(s.FailureDomain, rand.Uint64()), p.emitRoute, route.Message(route.Tick{}), tickInterval).Run)
 }
 
 // stopDuties ends all goroutines and waits for them.
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -57,6 +57,8 @@
 		Heard:    p.heard,
 		MapHeard: p.mapHeard,
 		Newer:    p.newer,
+		Remember: p.storeForPeer,
+		Recall:   p.recallForPeer,
 	}, p.local, p.clock, p.tracer)
 	return peerpb.NewPeerServer(server)
 }
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -32,58 +32,121 @@
 	return &Entry{vm: vm, clock: clock, routes: routes, local: local, remote: remote, tracer: tracer}
 }
 
-const (
-	// maxAttempts bounds how often a request that wasn't run is passed on again.
-	maxAttempts = 8
-	// retryPause lets a newer map arrive between attempts.
-	retryPause = 20 * time.Millisecond
-)
+// journey is one call on its way through attempts.
+type journey struct {
+	entry    *Entry
+	call     Call
+	attempts uint32
+	tried    []core.Target
+}
 
-// Serve finds the front of a call and passes the call on. A call that wasn't
-// run is passed on again until its deadline.
+// Serve finds the front of a call and passes the call on. The route duty
+// decides on further attempts.
 func (e *Entry) Serve(ctx context.Context, call Call) Answer {
 	ctx, span := e.tracer.Start(ctx, "entry")
 	defer span.End()
+	j := &journey{entry: e, call: call}
 	var answer Answer
-	var tried []core.VM
-	for call.Request.Attempt = 1; ; call.Request.Attempt++ {
-		var front core.VM
-		answer, front = e.attempt(ctx, call, tried)
-		if !retryable(answer.Outcome) || call.Request.Attempt >= maxAttempts {
-			return answer
-		}
-		tried = append(tried, front)
-		pause := retryPause * time.Duration(call.Request.Attempt)
-		if e.clock().Add(pause).After(call.Request.Deadline) {
+	for attempts := 1; ; attempts++ {
+		d := j.lookup(ctx, answer.Outcome, false)
+		switch {
+		case d.Final && attempts > 1:
 			return answer
+		case d.Outcome != "":
+			answer = Answer{Outcome: d.Outcome, Detail: d.Detail}
+		default:
+			answer = j.run(ctx, d)
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		pause, again := route.Pause(answer.Outcome, call.Request.Idempotent, attempts)
+		if !again || !e.clock().Add(pause).Before(call.Request.Deadline) || !sleep(ctx, pause) {
 			return answer
-		case <-timer.C:
 		}
 	}
 }
 
-func retryable(o core.Outcome) bool {
-	return o == core.OutcomeMoved || o == core.OutcomeNotRun || o == core.OutcomeNoOwner
+// sleep waits; it returns false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
-func (e *Entry) attempt(ctx context.Context, call Call, tried []core.VM) (Answer, core.VM) {
+func (j *journey) lookup(ctx context.Context, last core.Outcome, hedge bool) route.Decision {
 	reply := make(chan route.Decision, 1)
-	if err := e.routes.Put(ctx, route.Lookup{Request: call.Request, Tried: tried, Reply: reply}); err != nil {
-		return Answer{Outcome: core.OutcomeOverloaded, Detail: "the router's ring is full"}, ""
+	m := route.Lookup{Request: j.call.Request, Last: last, Hedge: hedge, Tried: j.tried, Reply: reply}
+	if err := j.entry.routes.Put(ctx, m); err != nil {
+		return route.Decision{Outcome: core.OutcomeOverloaded, Detail: "the router's ring is full", Final: hedge}
 	}
-	d := <-reply
-	if d.Outcome != "" {
-		return Answer{Outcome: d.Outcome, Detail: d.Detail}, ""
+	return <-reply
+}
+
+// attempt passes the call to the front that a decision names, and reports the
+// end to the route duty.
+func (j *journey) attempt(ctx context.Context, call Call, d route.Decision) Answer {
+	e := j.entry
+	began := e.clock()
+	var answer Answer
+	if d.Front == e.vm {
+		answer = e.local.Serve(ctx, call)
+	} else {
+		answer = e.remote.Forward(ctx, d.Address, call, d)
 	}
-	call.Target = d.Target
+	// A lost report would count the attempt as under way for ever.
+	_ = e.routes.Wait(context.WithoutCancel(ctx), route.Done{
+		Service: call.Request.Service, Target: d.Target, Outcome: answer.Outcome,
+		Latency: e.clock().Sub(began), Cancelled: ctx.Err() != nil,
+	})
+	return answer
+}
+
+// next returns the call as the next attempt sends it.
+func (j *journey) next(d route.Decision) Call {
+	j.attempts++
+	j.tried = append(j.tried, d.Target)
+	call := j.call
+	call.Request.Attempt = j.attempts
 	call.Request.Range = d.Range
-	if d.Front == e.vm {
-		return e.local.Serve(ctx, call), d.Front
+	call.Target = d.Target
+	return call
+}
+
+// run makes one attempt, with a hedge if it takes long and that is allowed.
+func (j *journey) run(ctx context.Context, d route.Decision) Answer {
+	if d.HedgeAfter <= 0 {
+		return j.attempt(ctx, j.next(d), d)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	// The loser is cancelled when the winner's answer is returned.
+	defer cancel()
+	answers := make(chan Answer, 2)
+	start := func(d route.Decision) {
+		call := j.next(d)
+		go func() { answers <- j.attempt(ctx, call, d) }()
+	}
+	start(d)
+	timer := time.NewTimer(d.HedgeAfter)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return answer
+	case <-timer.C:
+	}
+	second := j.lookup(ctx, "", true)
+	if second.Outcome != "" || second.Final {
+		return <-answers
+	}
+	start(second)
+	first := <-answers
+	if first.Outcome == core.OutcomeAnswered {
+		return first
 	}
-	return e.remote.Forward(ctx, d.Address, call, d), d.Front
+	return <-answers
 }
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -12,8 +14,12 @@
 	"celeryhook.example/celeryhook/internal/front"
 	"celeryhook.example/celeryhook/internal/ring"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
+// maxStoredBody bounds the response bodies that are kept for repeats.
+const maxStoredBody = 64 << 10
+
 // Local runs the part of a call that belongs to the front's VM.
 type Local struct {
 	clock  duty.Clock
@@ -36,27 +42,41 @@
 	))
 	defer span.End()
 	reply := make(chan front.Decision, 1)
-	submit := front.Submit{Request: call.Request, Target: call.Target, Reply: reply}
+	submit := front.Submit{Request: call.Request, Target: call.Target, Wall: time.Now(), Reply: reply}
 	if err := l.fronts.Put(ctx, submit); err != nil {
 		return Answer{Outcome: core.OutcomeOverloaded, Detail: "the front's ring is full", Target: call.Target}
 	}
 	// The front always answers, at the latest at the request's deadline; a
 	// caller that went away must not leave a dispatched request unreported.
 	d := <-reply
-	if d.Dispatch == nil {
-		return Answer{Outcome: d.Outcome, Detail: d.Detail, RetryAfter: d.RetryAfter, Target: call.Target}
+	switch {
+	case d.Dispatch != nil:
+		return l.send(ctx, call, *d.Dispatch)
+	case d.Response != nil:
+		return Answer{Outcome: d.Outcome, Target: call.Target, Response: target.Response{
+			Status: d.Response.Status, Header: http.Header(d.Response.Header), Body: d.Response.Body,
+		}}
 	}
-	return l.send(ctx, call, *d.Dispatch)
+	return Answer{Outcome: d.Outcome, Detail: d.Detail, RetryAfter: d.RetryAfter, Target: call.Target}
 }
 
 func (l *Local) send(ctx context.Context, call Call, d front.Dispatch) Answer {
 	began := l.clock()
+	if !call.Request.Idempotent {
+		// The response is kept for a repeat, even if the caller went away.
+		ctx = context.WithoutCancel(ctx)
+	}
 	answer := l.exchange(ctx, call, d, began)
 	finished := front.Finished{
-		Target:  call.Target,
-		Request: call.Request,
-		Outcome: answer.Outcome,
-		Latency: l.clock().Sub(began),
+		Ticket:    d.Ticket,
+		Outcome:   answer.Outcome,
+		Latency:   l.clock().Sub(began),
+		Shed:      answer.Response.NotRun && answer.Response.Status == http.StatusServiceUnavailable,
+		Cancelled: ctx.Err() != nil,
+	}
+	if !call.Request.Idempotent && answer.Outcome == core.OutcomeAnswered && len(answer.Response.Body) <= maxStoredBody {
+		r := answer.Response
+		finished.Response = &witness.Response{Status: r.Status, Header: r.Header, Body: r.Body}
 	}
 	// A report that got lost would leak a slot, so it waits for room.
 	_ = l.fronts.Wait(context.WithoutCancel(ctx), finished)
@@ -70,6 +90,9 @@
 	if left <= 0 {
 		return Answer{Outcome: core.OutcomeNotRun, Detail: "the deadline or the grant ended before sending", Target: call.Target}
 	}
+	if ctx.Err() != nil {
+		return Answer{Outcome: core.OutcomeNotRun, Detail: "the caller went away before sending", Target: call.Target}
+	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	response, err := l.target.Do(ctx, d.Address, call.HTTP, target.Stamp{
@@ -78,6 +101,7 @@
 		Request:  call.Request.ID,
 		Attempt:  call.Request.Attempt,
 		Deadline: d.Deadline,
+		Once:     !call.Request.Idempotent,
 	})
 	switch {
 	case errors.Is(err, target.ErrNotSent):
@@ -85,7 +109,7 @@
 	case err != nil:
 		return Answer{Outcome: core.OutcomeUnknown, Detail: err.Error(), Target: call.Target}
 	case response.NotRun:
-		return Answer{Outcome: core.OutcomeNotRun, Detail: response.Reason, Target: call.Target}
+		return Answer{Outcome: core.OutcomeNotRun, Detail: response.Reason, Response: response, Target: call.Target}
 	}
 	return Answer{Outcome: core.OutcomeAnswered, Response: response, Target: call.Target}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 // Handlers are the parts of the process that the server passes messages to.
@@ -25,6 +26,10 @@
 	// Newer returns what this VM holds that is newer than the versions given,
 	// with the folded state as JSON.
 	Newer func(context.Context, uint64, map[core.FailureDomain]core.Token) ([]byte, []*core.RangeMap, error)
+	// Remember stores request ids of another VM's front.
+	Remember func(context.Context, witness.Batch) (witness.Stored, error)
+	// Recall returns what this VM remembers of a target and ranges.
+	Recall func(context.Context, core.Target, []core.RangeID) (witness.Memory, error)
 }
 
 // Server answers other VMs.
@@ -133,13 +138,3 @@
 func (s *Server) Report(context.Context, *peerpb.FrontReport) (*peerpb.ReportReply, error) {
 	return nil, unimplemented("Report")
 }
-
-// Remember implements peerpb.Peer.
-func (s *Server) Remember(context.Context, *peerpb.RememberRequest) (*peerpb.RememberReply, error) {
-	return nil, unimplemented("Remember")
-}
-
-// Recall implements peerpb.Peer.
-func (s *Server) Recall(context.Context, *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
-	return nil, unimplemented("Recall")
-}
--- /dev/null
+++ b/internal/peer/witness.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/peer/peerpb"
+	"celeryhook.example/celeryhook/internal/witness"
+)
+
+// Remember stores a batch of request ids at another VM.
+func (c *Client) Remember(ctx context.Context, address string, b witness.Batch) (witness.Stored, error) {
+	reply, err := c.to(address).Remember(ctx, &peerpb.RememberRequest{
+		Front:             string(b.Front),
+		Target:            string(b.Target),
+		Token:             tokenToPB(b.Token),
+		Requests:          recordsToPB(b.Records),
+		Complete:          b.Complete,
+		Reset_:            b.Reset,
+		RampLimit:         uint32(b.RampLimit),
+		TargetIncarnation: b.Incarnation,
+	})
+	if err != nil {
+		return witness.Stored{}, fmt.Errorf("%w: %s: remember: %w", ErrUnreachable, address, err)
+	}
+	return witness.Stored{Stored: reply.GetStored(), Complete: reply.GetComplete()}, nil
+}
+
+// Recall asks another VM what it remembers of a target and ranges.
+func (c *Client) Recall(ctx context.Context, address string, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
+	req := &peerpb.RecallRequest{Target: string(t)}
+	for _, r := range ranges {
+		req.Ranges = append(req.Ranges, rangeToPB(r))
+	}
+	reply, err := c.to(address).Recall(ctx, req)
+	if err != nil {
+		return witness.Memory{}, fmt.Errorf("%w: %s: recall: %w", ErrUnreachable, address, err)
+	}
+	return witness.Memory{
+		Complete:    reply.GetComplete(),
+		Records:     recordsFromPB(reply.GetRequests()),
+		RampLimit:   int(reply.GetRampLimit()),
+		Incarnation: reply.GetTargetIncarnation(),
+	}, nil
+}
+
+// Remember implements peerpb.Peer.
+func (s *Server) Remember(ctx context.Context, r *peerpb.RememberRequest) (*peerpb.RememberReply, error) {
+	stored, err := s.handlers.Remember(ctx, witness.Batch{
+		Front:       core.VM(r.GetFront()),
+		Target:      core.Target(r.GetTarget()),
+		Token:       tokenFromPB(r.GetToken()),
+		Records:     recordsFromPB(r.GetRequests()),
+		Reset:       r.GetReset_(),
+		Complete:    r.GetComplete(),
+		RampLimit:   int(r.GetRampLimit()),
+		Incarnation: r.GetTargetIncarnation(),
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &peerpb.RememberReply{Stored: stored.Stored, Complete: stored.Complete}, nil
+}
+
+// Recall implements peerpb.Peer.
+func (s *Server) Recall(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
+	ranges := make([]core.RangeID, len(r.GetRanges()))
+	for i, id := range r.GetRanges() {
+		ranges[i] = rangeFromPB(id)
+	}
+	memory, err := s.handlers.Recall(ctx, core.Target(r.GetTarget()), ranges)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &peerpb.RecallReply{
+		Complete:          memory.Complete,
+		Requests:          recordsToPB(memory.Records),
+		RampLimit:         uint32(memory.RampLimit),
+		TargetIncarnation: memory.Incarnation,
+	}, nil
+}
+
+func recordsToPB(records []witness.Record) []*peerpb.RememberedRequest {
+	out := make([]*peerpb.RememberedRequest, len(records))
+	for i, r := range records {
+		out[i] = &peerpb.RememberedRequest{
+			RequestId: string(r.ID),
+			Range:     rangeToPB(r.Range),
+			Digest:    r.Digest,
+			State:     uint32(r.State),
+			AgeMs:     uint64(max(r.Age.Milliseconds(), 0)),
+		}
+		if r.Response != nil {
+			out[i].BodyKept = true
+			out[i].Status = uint32(r.Response.Status)
+			out[i].Headers = headersToPB(r.Response.Header)
+			out[i].Body = r.Response.Body
+		}
+	}
+	return out
+}
+
+func recordsFromPB(records []*peerpb.RememberedRequest) []witness.Record {
+	out := make([]witness.Record, len(records))
+	for i, r := range records {
+		out[i] = witness.Record{
+			ID:     core.RequestID(r.GetRequestId()),
+			Range:  rangeFromPB(r.GetRange()),
+			Digest: r.GetDigest(),
+			State:  witness.State(r.GetState()),
+			Age:    time.Duration(r.GetAgeMs()) * time.Millisecond,
+		}
+		if r.GetBodyKept() {
+			out[i].Response = &witness.Response{
+				Status: int(r.GetStatus()), Header: headersFromPB(r.GetHeaders()), Body: r.GetBody(),
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/estimate"
+)
+
+// avoidFor is how long a target that refused a request is chosen only if there
+// is no other: several service times, so that a queue can drain.
+const avoidFor = 100 * time.Millisecond
+
+// observed is what this VM has seen of a target.
+type observed struct {
+	// pending counts this VM's attempts under way.
+	pending    int
+	latency    estimate.Latency
+	avoidUntil core.Instant
+}
+
+// candidate is a target that may be chosen for any request of its service.
+type candidate struct {
+	decision Decision
+	observed *observed
+}
+
+func (r *Router) observed(t core.Target) *observed {
+	o := r.targets[t]
+	if o == nil {
+		o = &observed{}
+		r.targets[t] = o
+	}
+	return o
+}
+
+// choose takes the better of two random targets (Mitzenmacher, "The Power of
+// Two Choices in Randomized Load Balancing", 2001): one of the own failure
+// domain if there is one that has not refused lately.
+func (r *Router) choose(now core.Instant, s *service, m Lookup) Decision {
+	for _, pool := range [2][]candidate{s.near, s.far} {
+		if c := r.better(now, s, pool, m.Tried, false); c != nil {
+			return c.decision
+		}
+	}
+	if m.Hedge {
+		return Decision{Outcome: core.OutcomeNoOwner, Detail: "no other target is in service", Final: true}
+	}
+	for _, pool := range [2][]candidate{s.near, s.far} {
+		if c := r.better(now, s, pool, m.Tried, true); c != nil {
+			return c.decision
+		}
+	}
+	return Decision{Outcome: core.OutcomeNoOwner, Detail: "no target of the service is in service"}
+}
+
+// better samples a pool twice and returns the target with the smaller score.
+// Both samples may be the same target, so that even the slowest is chosen now
+// and then and its recovery is seen.
+func (r *Router) better(now core.Instant, s *service, pool []candidate, tried []core.Target, avoided bool) *candidate {
+	a := r.sample(now, pool, tried, avoided)
+	if a == nil {
+		return nil
+	}
+	b := r.sample(now, pool, tried, avoided)
+	if b.score(s) < a.score(s) {
+		return b
+	}
+	return a
+}
+
+// sample returns the first usable target from a random place on.
+func (r *Router) sample(now core.Instant, pool []candidate, tried []core.Target, avoided bool) *candidate {
+	if len(pool) == 0 {
+		return nil
+	}
+	start := r.random.IntN(len(pool))
+	for i := range pool {
+		c := &pool[(start+i)%len(pool)]
+		if slices.Contains(tried, c.decision.Target) || !avoided && now.Before(c.observed.avoidUntil) {
+			continue
+		}
+		return c
+	}
+	return nil
+}
+
+// score estimates the time that a request would take at a target.
+func (c *candidate) score(s *service) float64 {
+	mean := c.observed.latency.Mean()
+	if mean == 0 {
+		mean = max(s.latency.Mean(), time.Millisecond)
+	}
+	return float64(mean) * float64(c.observed.pending+1)
+}
+
+// done takes the end of an attempt into account.
+func (r *Router) done(now core.Instant, m Done) {
+	o := r.observed(m.Target)
+	o.pending = max(o.pending-1, 0)
+	s := r.services[m.Service]
+	switch {
+	case m.Outcome == core.OutcomeAnswered:
+		o.latency.Observe(m.Latency)
+		if s != nil {
+			s.latency.Observe(m.Latency)
+		}
+	case m.Outcome.NotRun():
+		o.avoidUntil = now.Add(avoidFor)
+	case m.Cancelled:
+		// The loser of a hedge took at least this long.
+		o.latency.AtLeast(m.Latency)
+	default:
+		o.latency.AtLeast(m.Latency)
+		o.avoidUntil = now.Add(avoidFor)
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -66,8 +66,13 @@
 	vm   core.VM
 }
 
-// NewClient returns a client of a VM.
-func NewClient(vm core.VM, client *http.Client) *Client { return &Client{http: client, vm: vm} }
+// NewClient returns a client of a VM. It follows no redirect, which would send
+// a request a second time.
+func NewClient(vm core.VM, client *http.Client) *Client {
+	once := *client
+	once.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &once, vm: vm}
+}
 
 // Order sends an order. An error wraps ErrNotSent or ErrNoResponse.
 func (c *Client) Order(ctx context.Context, address string, o grant.Order) (grant.OrderReply, error) {
@@ -102,6 +107,8 @@
 	Request  core.RequestID
 	Attempt  uint32
 	Deadline grant.TargetClock
+	// Once forbids the transport to send the request again by itself.
+	Once bool
 }
 
 // Do sends a request. An error wraps ErrNotSent, ErrNoResponse or ErrCrossed.
@@ -122,11 +129,9 @@
 	req.Header.Set(HeaderRequestID, string(s.Request))
 	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(s.Attempt), 10))
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(int64(s.Deadline), 10))
-	// The transport repeats a request on a new connection if it has this header
-	// and a body that can be read again; that would run it twice.
-	req.Header.Del("Idempotency-Key")
-	req.Header.Del("X-Idempotency-Key")
-	req.GetBody = nil
+	if s.Once {
+		forbidRepeat(req, call.Body)
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return Response{}, sendError(address, err)
@@ -154,6 +159,20 @@
 	}, nil
 }
 
+// forbidRepeat keeps the transport from sending a request again after a part
+// of it was written. It does so for a request with one of these headers or a
+// method such as GET if the body can be read again. For other requests it only
+// repeats one of which nothing was written, which is safe.
+func forbidRepeat(req *http.Request, body []byte) {
+	req.Header.Del("Idempotency-Key")
+	req.Header.Del("X-Idempotency-Key")
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		req.GetBody = nil
+	}
+}
+
 func reasonOf(res *http.Response, body []byte) string {
 	if res.Header.Get(HeaderNotRun) == "" {
 		return ""
