--- a/internal/app/count.go
+++ b/internal/app/count.go
@@ -68,7 +68,7 @@
 		}
 	case front.Finished:
 		p.metrics.Count("front", "finished", string(m.Outcome))
-		p.metrics.Latency(m.Latency, "target", string(m.Request.Service))
+		p.metrics.Latency(m.Latency, "target")
 	}
 }
 
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"celeryhook.example/celeryhook/internal/route"
 	"celeryhook.example/celeryhook/internal/settings"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 const (
@@ -36,6 +38,8 @@
 	tickInterval = 25 * time.Millisecond
 	// rpcTimeout bounds a control message between VMs.
 	rpcTimeout = 250 * time.Millisecond
+	// recallTimeout bounds the answer with all request ids of a few ranges.
+	recallTimeout = time.Second
 	// appendTimeout bounds an append to the log.
 	appendTimeout = 2 * time.Second
 )
@@ -55,10 +59,13 @@
 	grants      *ring.Ring[grant.Message]
 	fronts      *ring.Ring[front.Message]
 	routes      *ring.Ring[route.Message]
+	witnesses   *ring.Ring[witness.Message]
 
 	logPool    *duty.Pool
 	peerPool   *duty.Pool
 	targetPool *duty.Pool
+	// memoryPool stores request ids at witnesses and recalls them.
+	memoryPool *duty.Pool
 
 	peers    *peer.Client
 	targets  *target.Client
@@ -87,9 +94,11 @@
 		grants:      ring.New[grant.Message]("grant", controlRing, ring.Block),
 		fronts:      ring.New[front.Message]("front", requestRing, ring.Refuse),
 		routes:      ring.New[route.Message]("route", requestRing, ring.Block),
+		witnesses:   ring.New[witness.Message]("witness", requestRing, ring.Refuse),
 		logPool:     duty.NewPool("platformlog-io", 4, controlRing),
 		peerPool:    duty.NewPool("peer-io", 16, controlRing),
 		targetPool:  duty.NewPool("target-io", 32, controlRing),
+		memoryPool:  duty.NewPool("memory-io", 32, controlRing),
 	}
 	p.peers = peer.NewClient(&http.Client{Transport: newTransport(dialer)}, clock, p.tracer)
 	p.targets = target.NewClient(s.VM, &http.Client{Transport: observe.TraceTransport(newTransport(dialer))})
@@ -105,10 +114,10 @@
 func (p *Process) Settings() settings.Entry { return p.settings }
 
 func (p *Process) showRings() {
-	for _, r := range []observe.Ring{p.reader, p.members, p.coordinator, p.grants, p.fronts, p.routes} {
+	for _, r := range []observe.Ring{p.reader, p.members, p.coordinator, p.grants, p.fronts, p.witnesses, p.routes} {
 		p.metrics.Ring(r)
 	}
-	for _, pool := range []*duty.Pool{p.logPool, p.peerPool, p.targetPool} {
+	for _, pool := range []*duty.Pool{p.logPool, p.peerPool, p.targetPool, p.memoryPool} {
 		p.metrics.Pool(pool.Ring())
 	}
 }
@@ -147,12 +156,14 @@
 	p.runPool(ctx, p.logPool)
 	p.runPool(ctx, p.peerPool)
 	p.runPool(ctx, p.targetPool)
+	p.runPool(ctx, p.memoryPool)
 	start(ctx, p, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
 	start(ctx, p, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), nil, nil)
 	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
 	start(ctx, p, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
-	start(ctx, p, p.fronts, front.New(), p.emitFront, front.Message(front.Tick{}), p.countFrontMessage, p.countFrontOutput)
-	start(ctx, p, p.routes, route.New(s.FailureDomain), p.emitRoute, route.Message(route.Tick{}), p.countRouteMessage, p.countRouteOutput)
+	start(ctx, p, p.fronts, front.New(s.VM), p.emitFront, front.Message(front.Tick{}), p.countFrontMessage, p.countFrontOutput)
+	start(ctx, p, p.witnesses, witness.NewKeeper(), p.emitWitness, witness.Message(witness.Tick{}), nil, nil)
+	start(ctx, p, p.routes, route.New(s.FailureDomain, rand.Uint64()), p.emitRoute, route.Message(route.Tick{}), p.countRouteMessage, p.countRouteOutput)
 }
 
 // start runs one duty on its own goroutine. The hooks count messages and
