coordinate: a front takes grants only on word for its map version

Random schedule: a front restarted, got an old map from a peer and the holder's word from the holder, and took a grant that the holder had already let end. The answer to a report now names the holder's map version.

--- a/internal/coordinate/authority.go
+++ b/internal/coordinate/authority.go
@@ -28,7 +28,7 @@
 	// finds itself named by a term of its predecessor does not know which
 	// tokens that one gave out, so it writes a new term first.
 	own bool
-	// superseded is set once a greater rank of this term was seen at a target.
+	// superseded is set once a greater rank was seen to act in this term.
 	superseded bool
 
 	read    core.Instant
--- a/internal/coordinate/coordinator.go
+++ b/internal/coordinate/coordinator.go
@@ -80,6 +80,7 @@
 	case MapHeard:
 		if m.Map.FailureDomain == c.domain && (c.current == nil || c.current.Version.Less(m.Map.Version)) {
 			c.current = m.Map
+			c.supersede(now, m.Map.Version)
 		}
 	case PromiseAsked:
 		c.emit(GivePromise{To: m.Reply, Answer: c.answerAsk(now, m.Ask)})
@@ -146,7 +147,8 @@
 	c.emit(RoleChanged{Holding: keep, Term: role.Term, Rank: role.Rank})
 }
 
-// supersede ends the role in this term: a target has seen a greater token.
+// supersede ends the role in this term: a greater rank has acted in it. Fronts
+// would not follow a map with a smaller one.
 func (c *Coordinator) supersede(now core.Instant, seen core.Token) {
 	role := c.authority.role()
 	if role.Term < seen.Term || role.Term == seen.Term && role.Rank < seen.Rank {
@@ -169,9 +171,9 @@
 
 // answerReport tells a front whether this VM is its holder.
 func (c *Coordinator) answerReport(now core.Instant, to chan<- grant.ReportAnswer) {
-	role := c.authority.role()
-	c.emit(AnswerReport{To: to, Answer: grant.ReportAnswer{
-		Accepted: c.holder != nil, Term: role.Term, Rank: role.Rank,
-		DomainAuthority: c.holder != nil && c.domainAuthority(now),
-	}})
+	var answer grant.ReportAnswer
+	if c.holder != nil {
+		answer = grant.ReportAnswer{Accepted: true, Version: c.holder.version, DomainAuthority: c.domainAuthority(now)}
+	}
+	c.emit(AnswerReport{To: to, Answer: answer})
 }
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -178,13 +178,15 @@
 	for _, x := range h.targets {
 		for vm, incarnation := range x.extenders {
 			m := v.Members[vm]
-			if m.Incarnation == incarnation || m.Incarnation == 0 {
+			if m.Incarnation <= incarnation {
 				continue
 			}
 			delete(x.extenders, vm)
 			x.ends = max(x.ends, now.Add(core.Lengthen(core.GrantLease)))
 			x.quietAt = max(x.quietAt, x.ends)
-			if vm == x.front {
+			// The new process may act on the assignment if it is the present
+			// one or if it has had this holder's word already.
+			if vm == x.front || h.reports[vm].incarnation == m.Incarnation {
 				x.extenders[vm] = m.Incarnation
 			}
 		}
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -88,7 +88,7 @@
 	}
 	x.reissue = false
 	x.token = c.holder.version
-	x.extenders[x.front] = c.view.Members[x.front].Incarnation
+	x.extenders[x.front] = max(c.view.Members[x.front].Incarnation, c.holder.reports[x.front].incarnation)
 }
 
 func subset(a, b map[core.RangeID]bool) bool {
--- a/internal/coordinate/random_test.go
+++ b/internal/coordinate/random_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"runtime"
+	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,6 +43,7 @@
 			n = 500
 		}
 	}
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // most of the memory is short-lived
 	began := time.Now()
 	first := uint64(began.UnixNano())
 	var next atomic.Uint64
@@ -83,8 +86,10 @@
 		return w, err
 	}
 	for range 2 + w.rand.IntN(7) {
-		if err := run("%s", w.randomFault(vms, targets)); err != nil {
-			return w, err
+		for _, fault := range w.randomFault(vms, targets) {
+			if err := run("%s", fault); err != nil {
+				return w, err
+			}
 		}
 		if err := run("run %dms", w.rand.IntN(1000)); err != nil {
 			return w, err
@@ -93,26 +98,44 @@
 	return w, w.recover(vms, targets)
 }
 
-func (w *world) randomFault(vms, targets []string) string {
-	all := append(append([]string{"holder:d1", "holder:d1"}, vms...), targets...)
+func (w *world) randomFault(vms, targets []string) []string {
+	all := slices.Concat([]string{"holder:d1", "holder:d1"}, vms, targets)
 	one := func(from []string) string { return from[w.rand.IntN(len(from))] }
-	switch w.rand.IntN(10) {
+	switch w.rand.IntN(13) {
 	case 0, 1:
-		return "kill " + one(all)
+		return []string{"kill " + one(all)}
 	case 2:
-		return "freeze " + one(all)
+		return []string{"freeze " + one(all)}
 	case 3:
-		return "thaw " + one(all)
+		return []string{"thaw " + one(all)}
 	case 4:
-		return "return " + one(append(vms, targets...))
-	case 5, 6:
-		return "cut " + one(vms) + " " + one(append(all, "log"))
+		return []string{"return " + one(slices.Concat(vms, targets))}
+	case 5:
+		return []string{"cut " + one(vms) + " " + one(append(all, "log"))}
+	case 6:
+		return []string{"heal " + one(vms) + " " + one(append(all, "log"))}
 	case 7:
-		return "heal " + one(vms) + " " + one(append(all, "log"))
+		return []string{one([]string{"log down", "log up", "log slow 400ms"})}
 	case 8:
-		return one([]string{"log down", "log up", "log slow 400ms"})
+		return []string{one([]string{"lose 0.1", "lose 0", "leave t1", "stay t1"})}
+	case 9:
+		return []string{"return " + one(targets), "return " + one(targets)}
+	case 10:
+		clear(w.cuts)
+		return []string{"heal a log"}
+	}
+	return w.randomPartition(slices.Concat(vms, targets, []string{"log"}))
+}
+
+// randomPartition cuts two groups of VMs, targets and the log from each other.
+func (w *world) randomPartition(all []string) []string {
+	w.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	n := 1 + w.rand.IntN(len(all)-1)
+	var out []string
+	for _, id := range all[:n] {
+		out = append(out, "cut "+id+" "+strings.Join(all[n:], " "))
 	}
-	return one([]string{"lose 0.1", "lose 0", "leave t1", "stay t1"})
+	return out
 }
 
 // recover ends all faults and waits until everything is served.
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -93,9 +93,12 @@
 }
 
 func (c *Coordinator) takeReport(now core.Instant, m Reported) {
+	r := m.Report
+	if r.FailureDomain == c.domain {
+		c.supersede(now, r.Version)
+	}
 	c.answerReport(now, m.Reply)
 	h := c.holder
-	r := m.Report
 	if h == nil || r.FailureDomain != c.domain {
 		return
 	}
--- a/internal/grant/report.go
+++ b/internal/grant/report.go
@@ -62,17 +62,21 @@
 type ReportAnswer struct {
 	// Accepted is set by a holder with the keep right.
 	Accepted bool
-	Term     uint64
-	Rank     uint32
+	// Version is that of the holder's map. A front with an older one may have
+	// been replaced, so it takes no grant on this answer.
+	Version core.Token
 	// DomainAuthority permits the ranges of services with isolation = yield.
 	DomainAuthority bool
 }
 
 func (k *Keeper) stepReportDone(m ReportDone) {
-	if !m.Answer.Accepted || m.Answer.Term != k.version.Term || m.Answer.Rank != k.version.Rank {
+	v := m.Answer.Version
+	if !m.Answer.Accepted || v.Term != k.version.Term || v.Rank != k.version.Rank {
 		return
 	}
-	k.word = max(k.word, m.Sent.Add(core.Shorten(HolderLease)))
+	if v == k.version {
+		k.word = max(k.word, m.Sent.Add(core.Shorten(HolderLease)))
+	}
 	if m.Answer.DomainAuthority {
 		k.yieldWord = max(k.yieldWord, m.Sent.Add(core.Shorten(HolderLease)))
 	}
--- a/internal/peer/coordinate.go
+++ b/internal/peer/coordinate.go
@@ -32,7 +32,7 @@
 		return grant.ReportAnswer{}, fmt.Errorf("%w: %s: report: %w", ErrUnreachable, address, err)
 	}
 	return grant.ReportAnswer{
-		Accepted: reply.GetAccepted(), Term: reply.GetTerm(), Rank: reply.GetRank(),
+		Accepted: reply.GetAccepted(), Version: tokenFromPB(reply.GetMapVersion()),
 		DomainAuthority: reply.GetDomainAuthority(),
 	}, nil
 }
@@ -58,7 +58,8 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return &peerpb.ReportReply{
-		Accepted: answer.Accepted, Term: answer.Term, Rank: answer.Rank, DomainAuthority: answer.DomainAuthority,
+		Accepted: answer.Accepted, Term: answer.Version.Term, Rank: answer.Version.Rank,
+		MapVersion: tokenToPB(answer.Version), DomainAuthority: answer.DomainAuthority,
 	}, nil
 }
 
