--- a/internal/app/emit_front.go
+++ b/internal/app/emit_front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/front"
 	"celeryhook.example/celeryhook/internal/grant"
 )
@@ -24,7 +23,3 @@
 		_ = p.grants.Put(ctx, grant.Drained{Target: o.Target, Ranges: o.Ranges})
 	}
 }
-
-// loadMeasured takes the load of a target about once a second. The coordinator
-// that uses it is joined here.
-func (p *Process) loadMeasured(context.Context, core.TargetLoad) {}
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -52,6 +52,8 @@
 	tracer   trace.Tracer
 	metrics  *observe.Metrics
 	platform platformlog.Log
+	// incarnation tells this process from earlier ones under the VM's id.
+	incarnation uint64
 
 	reader      *ring.Ring[platformlog.Message]
 	members     *ring.Ring[membership.Message]
@@ -88,6 +90,7 @@
 		tracer:      observe.CountHops(tracer, metrics),
 		metrics:     metrics,
 		platform:    platform,
+		incarnation: uint64(time.Now().UnixNano()),
 		reader:      ring.New[platformlog.Message]("platformlog", controlRing, ring.Block),
 		members:     ring.New[membership.Message]("membership", controlRing, ring.DropOldest),
 		coordinator: ring.New[coordinate.Message]("coordinate", controlRing, ring.Block),
@@ -159,8 +162,8 @@
 	p.runPool(ctx, p.memoryPool)
 	start(ctx, p, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
 	start(ctx, p, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), nil, nil)
-	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
-	start(ctx, p, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
+	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain, p.incarnation), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
+	start(ctx, p, p.grants, grant.NewKeeper(s.VM, s.FailureDomain, p.incarnation), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
 	start(ctx, p, p.fronts, front.New(s.VM), p.emitFront, front.Message(front.Tick{}), p.countFrontMessage, p.countFrontOutput)
 	start(ctx, p, p.witnesses, witness.NewKeeper(), p.emitWitness, witness.Message(witness.Tick{}), nil, nil)
 	start(ctx, p, p.routes, route.New(s.FailureDomain, rand.Uint64()), p.emitRoute, route.Message(route.Tick{}), p.countRouteMessage, p.countRouteOutput)
@@ -186,7 +189,7 @@
 		VM:            p.settings.VM,
 		FailureDomain: p.settings.FailureDomain,
 		Address:       p.settings.PeersAddress,
-		Incarnation:   uint64(time.Now().UnixNano()),
+		Incarnation:   p.incarnation,
 		Capacity:      p.settings.Capacity,
 	}
 }
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -61,6 +61,8 @@
 		Newer:    p.newer,
 		Remember: p.storeForPeer,
 		Recall:   p.recallForPeer,
+		Asked:    p.asked,
+		Reported: p.reported,
 	}, p.local, p.clock, p.tracer)
 	return peerpb.NewPeerServer(server)
 }
@@ -109,6 +111,7 @@
 	e.GET("/readyz", p.serveReady)
 	e.GET("/metrics", gin.WrapH(p.metrics))
 	e.GET("/explain", p.serveExplain)
+	e.GET("/status", p.serveStatus)
 	return e
 }
 
