coordinate: scenarios for leaving, restarts, domains; three faults fixed

Random schedules found: a carried assignment of an earlier holder was taken anew after a restart (two owners), so that only an inspected target's assignment now names an incarnation; inspects of a lost target were dropped after a new term of the same VM. A sole candidate's coordinator now needs the log or the promise for the keep right, too: otherwise its successor could never move ranges until it returned.

--- a/internal/coordinate/authority.go
+++ b/internal/coordinate/authority.go
@@ -174,7 +174,7 @@
 
 // closed reports whether no holder of the previous term can act any more,
 // apart from what it decided before.
-func (a *authority) closed() bool {
+func (a *authority) closed(now core.Instant) bool {
 	t := a.term
 	if t.PreviousNumber == 0 {
 		return true
@@ -185,7 +185,8 @@
 		return len(t.PreviousCandidates) < 2 || slices.ContainsFunc(t.PreviousCandidates, a.isAware)
 	}
 	if len(t.PreviousCandidates) == 1 {
-		return a.isAware(t.PreviousCoordinator)
+		// The writer's promise had expired, so that coordinator needs the log.
+		return a.isAware(t.PreviousCoordinator) || a.logAged(now)
 	}
 	return !slices.ContainsFunc(t.PreviousCandidates, func(vm core.VM) bool { return !a.isAware(vm) })
 }
@@ -199,7 +200,7 @@
 // sets are the sets of candidates that may replace this holder: those of the
 // term if it is the coordinator, of its own term whose outcome is unknown, and
 // of the previous term while its candidates may not know of this one.
-func (a *authority) sets() [][]core.VM {
+func (a *authority) sets(now core.Instant) [][]core.VM {
 	var out [][]core.VM
 	if a.pending != nil {
 		out = append(out, a.pending.record.Candidates)
@@ -208,7 +209,7 @@
 		return out
 	}
 	out = append(out, a.term.Candidates)
-	if !a.takesOver() && !a.closed() {
+	if !a.takesOver() && !a.closed(now) {
 		out = append(out, a.term.PreviousCandidates)
 	}
 	return out
@@ -224,8 +225,10 @@
 	case a.isCoordinator() && (!a.own || a.takesOver() && !a.succeeded(now)):
 		return false
 	}
-	for _, set := range a.sets() {
-		if len(set) >= 2 && a.promises(now, set) == 0 {
+	for _, set := range a.sets(now) {
+		// A sole candidate needs no promise for a term of its own, so that only
+		// the log or its promise shows that there is none.
+		if n := a.promises(now, set); n == 0 && (len(set) >= 2 || len(set) == 1 && !a.fresh(now)) {
 			return false
 		}
 	}
@@ -235,13 +238,19 @@
 // succeeded reports whether the previous coordinator has lost the move right:
 // it has no promise left, or its last fresh read of the log has aged.
 func (a *authority) succeeded(now core.Instant) bool {
-	if a.closed() || !now.Before(a.learned.Add(core.Lengthen(core.LogLease))) {
+	if a.closed(now) || a.logAged(now) {
 		return true
 	}
 	others := len(a.term.PreviousCandidates) - 1
 	return others > 0 && a.promises(now, a.term.PreviousCandidates) == others
 }
 
+// logAged reports whether every read of the log that was begun before the term
+// in force was in it has aged beyond the log lease.
+func (a *authority) logAged(now core.Instant) bool {
+	return !now.Before(a.learned.Add(core.Lengthen(core.LogLease)))
+}
+
 // move reports the right to time-based acts.
 func (a *authority) move(now core.Instant) bool {
 	if !a.keep(now) {
@@ -251,10 +260,10 @@
 	if !first && now.Before(a.heldSince.Add(settle)) {
 		return false
 	}
-	if a.isCoordinator() && a.takesOver() && (!a.closed() || now.Before(a.learned.Add(core.Lengthen(core.LogLease)))) {
+	if a.isCoordinator() && a.takesOver() && (!a.closed(now) || !a.logAged(now)) {
 		return false
 	}
-	for _, set := range a.sets() {
+	for _, set := range a.sets(now) {
 		n := a.promises(now, set)
 		if n < len(set) && (!a.fresh(now) || len(set) >= 2 && n == 0) {
 			return false
--- a/internal/coordinate/domains.go
+++ b/internal/coordinate/domains.go
@@ -65,7 +65,7 @@
 func (c *Coordinator) finishRelease(now core.Instant) {
 	h := c.holder
 	number := c.folded.Delegation.Number
-	if number == 0 || c.folded.Delegation.Released[c.domain] || !c.releasable(number) {
+	if number == 0 || c.folded.Delegation.Released[c.domain] || !c.releasable(now, number) {
 		return
 	}
 	p := &h.release
@@ -84,7 +84,7 @@
 
 // releasable reports whether no target of this failure domain can hold a range
 // whose home is elsewhere, and no candidate can act without knowing that.
-func (c *Coordinator) releasable(number uint64) bool {
+func (c *Coordinator) releasable(now core.Instant, number uint64) bool {
 	h := c.holder
 	for id, r := range h.ranges {
 		if (r.target != "" || r.assumed != "") && !c.isHomed(id) {
@@ -96,7 +96,7 @@
 			return false
 		}
 	}
-	for _, set := range c.authority.sets() {
+	for _, set := range c.authority.sets(now) {
 		// One candidate that has read the delegation promises nothing to others
 		// that have not.
 		reads := func(vm core.VM) bool { return c.authority.offsets[vm] >= number }
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -130,7 +130,7 @@
 	}
 	for id, x := range h.targets {
 		a := c.current.Targets[id]
-		x.front, x.token, x.incarnation = a.Front, a.Token, a.Incarnation
+		x.front, x.token = a.Front, a.Token
 		x.witnesses, x.previous, x.previousAt = a.Witnesses, a.Previous, now
 	}
 	for id, a := range c.current.Ranges {
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -42,10 +42,16 @@
 			x.previous = nil
 		}
 		c.issue(x, *issues[id])
-		next.Targets[id] = core.TargetAssignment{
+		a := core.TargetAssignment{
 			Front: x.front, Witnesses: x.witnesses, Previous: x.previous, Token: x.token,
-			Incarnation: x.incarnation, Leaving: x.leaving() || x.lost,
+			Leaving: x.leaving() || x.lost,
 		}
+		if x.fenced {
+			a.Incarnation = x.incarnation
+		}
+		// Without an incarnation a front may go on with a grant of an earlier
+		// holder, but not take it anew: that holder may have moved the ranges.
+		next.Targets[id] = a
 	}
 	c.current = next
 	c.emit(Publish{Map: next, To: c.others()})
--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -47,9 +47,10 @@
 //	vm ID DOMAIN ... | target ID DOMAIN ... | start | run DURATION
 //	kill|freeze|thaw|return ID ... | cut|heal ID ID | rate ID FACTOR
 //	log up|down|slow DURATION | lose SHARE
-//	leave TARGET | stay TARGET | domain NAME in|out|lost
+//	leave TARGET | stay TARGET | drain TARGET | domain NAME in|out|lost
 //	expect served [within DURATION] | expect unserved [N]
-//	expect holder ID | expect moves N | expect owners DOMAIN N
+//	expect holder DOMAIN ID | expect moves MOST | expect owners DOMAIN N
+//	expect targetranges TARGET N
 //
 // ID may be holder:DOMAIN, front:TARGET or log. A # begins a comment.
 func (w *world) command(line string) error {
@@ -87,6 +88,8 @@
 	case "leave", "stay":
 		w.document.leaving[f[1]] = f[0] == "leave"
 		w.submit()
+	case "drain":
+		w.targets[core.Target(f[1])].draining = true
 	case "domain":
 		w.appendDomain(f[1], f[2])
 	case "expect":
@@ -261,6 +264,10 @@
 			return fmt.Errorf("%d ranges moved", w.moves)
 		}
 		w.moves = 0
+	case "targetranges":
+		if t := w.targets[core.Target(f[1])]; f[2] != strconv.Itoa(len(t.ranges)) {
+			return fmt.Errorf("%s holds %d ranges", t.id, len(t.ranges))
+		}
 	case "owners":
 		n := 0
 		for _, t := range w.document.targets {
@@ -281,6 +288,7 @@
 	began := w.now
 	for len(w.unserved()) > 0 && len(w.faults) == 0 {
 		if w.now.Sub(began) >= d {
+			w.noteHolders()
 			return fmt.Errorf("not served after %v: %s", d, strings.Join(w.unserved(), " "))
 		}
 		w.run(10 * time.Millisecond)
@@ -289,6 +297,24 @@
 	return nil
 }
 
+// noteHolders adds what holders and targets know to the trace.
+func (w *world) noteHolders() {
+	for _, id := range sortedKeys(w.vms) {
+		if v := w.vms[id]; v.alive && v.coordinator.holder != nil {
+			s := v.coordinator.status(v.clock())
+			w.note("%s holds: keep %t move %t map %s moves %v promises %v", id, s.Keep, s.Move, s.MapVersion, s.MovesPending, s.PromisesMS)
+			for _, t := range s.Targets {
+				w.note("%+v", t)
+			}
+			w.note("%+v", s.Ranges)
+		}
+	}
+	for _, id := range sortedKeys(w.targets) {
+		t := w.targets[id]
+		w.note("%s: alive %t front %s token %s held %t incarnation %d ranges %v", id, t.alive, t.front, t.token, t.held(), t.incarnation, t.ranges)
+	}
+}
+
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	out := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -33,11 +33,11 @@
 	}
 	c.supersede(now, m.Reply.Token)
 	h := c.holder
-	if h == nil || m.Order.Token.Less(h.fence) {
+	if h == nil {
 		return
 	}
 	x := h.targets[m.Target]
-	if x == nil || x.fenced && !x.lost {
+	if x == nil || !x.fenced && m.Order.Token != h.fence || x.fenced && (!x.lost || m.Order.Token != x.token) {
 		return
 	}
 	h.wake, h.dirty = true, true
--- a/internal/coordinate/term.go
+++ b/internal/coordinate/term.go
@@ -70,10 +70,10 @@
 	var ask []core.VM
 	switch {
 	case a.isCoordinator() && !a.superseded && (a.own || a.fresh(now)):
-		for _, set := range a.sets() {
+		for _, set := range a.sets(now) {
 			ask = append(ask, set...)
 		}
-		if !a.closed() {
+		if !a.closed(now) {
 			ask = append(ask, a.term.PreviousCandidates...)
 			ask = append(ask, a.term.PreviousCoordinator)
 		}
@@ -82,7 +82,7 @@
 		if a.pending != nil {
 			ask = append(ask, a.pending.record.Candidates...)
 		}
-		if !a.closed() {
+		if !a.closed(now) {
 			ask = append(ask, a.term.PreviousCandidates...)
 		}
 	default:
@@ -140,13 +140,13 @@
 	case !a.known:
 		return c.firstTermDue(now)
 	case a.isCoordinator() && (!a.own || a.superseded):
-		return a.closed()
+		return a.closed(now)
 	case a.isCoordinator():
-		return a.holding && a.closed() && !slices.Equal(c.candidates(), a.term.Candidates)
+		return a.holding && a.closed(now) && !slices.Equal(c.candidates(), a.term.Candidates)
 	case a.acting:
-		return a.closed()
+		return a.closed(now)
 	case a.collecting:
-		return a.closed() && (len(a.term.Candidates) < 2 || now.Sub(a.since) >= collectFor)
+		return a.closed(now) && (len(a.term.Candidates) < 2 || now.Sub(a.since) >= collectFor)
 	}
 	return false
 }
