coordinate: keep the answers to inspects over a new term of the same VM

An acting candidate that wrote the next term dropped the answers to its first inspects and asked again 300 ms later, so that ranges of the lost coordinator's targets were served again only after up to 1.96 s.

--- a/internal/coordinate/coordinator.go
+++ b/internal/coordinate/coordinator.go
@@ -138,9 +138,9 @@
 		a.holding, a.interrupted = false, true
 		c.holder = nil
 	case keep && (c.holder.role != role):
-		// The same VM goes on under a term that it wrote itself.
+		// The same VM goes on under a term that it wrote itself. Nobody else has
+		// acted since its first inspects, so that their fences still count.
 		c.holder.role, c.holder.dirty = role, true
-		c.holder.fence = core.Token{Term: role.Term, Rank: role.Rank, Seq: c.seq}
 	default:
 		return
 	}
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -26,7 +26,7 @@
 type holder struct {
 	role  core.Token
 	began core.Instant
-	// fence is the token of the inspects at the take-over.
+	// fence is the token of the first inspects.
 	fence core.Token
 	// ready is set once the targets have been inspected.
 	ready bool
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		x.inspectAt = now.Add(inspectInterval)
-		token := h.fence
+		token := core.Token{Term: h.role.Term, Rank: h.role.Rank, Seq: h.fence.Seq}
 		if x.fenced {
 			// A greater token would fence the front's own.
 			token = x.token
@@ -37,7 +37,7 @@
 		return
 	}
 	x := h.targets[m.Target]
-	if x == nil || !x.fenced && m.Order.Token != h.fence || x.fenced && (!x.lost || m.Order.Token != x.token) {
+	if x == nil || !x.fenced && m.Order.Token.Less(h.fence) || x.fenced && (!x.lost || m.Order.Token != x.token) {
 		return
 	}
 	h.wake, h.dirty = true, true
