Serve bookings at once in a deployment that never served before

A front without an earlier front to ask declared a gap in its memory, so a new deployment answered bookings 'unknown' for ten minutes unless their ids were new UUIDv7s. The map now names the incarnation of the front that is the first ever to serve a range: the failure domain's first term, no change of homes so far, and a range that no target was found to hold. A process that replaces that front has another incarnation and still declares the gap.

Test fixtures follow the stricter policy validation and the log reader's page limits.

--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -27,7 +27,7 @@
 		}
 		p.acceptor.Apply(o.Policy)
 		if o.Own != nil {
-			grants, fronts := assignments(p.settings.VM, o.Policy, o.Own)
+			grants, fronts := assignments(p.settings.VM, p.incarnation, o.Policy, o.Own)
 			_ = p.grants.Put(ctx, grant.Assigned{Holder: o.Own.Holder, Version: o.Own.Version, Targets: grants})
 			remember := o.Policy.Control.Remember
 			// An assignment isn't repeated, so it waits for room.
@@ -38,7 +38,7 @@
 }
 
 // assignments picks out of a map what concerns one VM's targets.
-func assignments(vm core.VM, p *policy.Policy, m *core.RangeMap) (map[core.Target]grant.Assignment, map[core.Target]front.Assignment) {
+func assignments(vm core.VM, incarnation uint64, p *policy.Policy, m *core.RangeMap) (map[core.Target]grant.Assignment, map[core.Target]front.Assignment) {
 	grants := make(map[core.Target]grant.Assignment)
 	fronts := make(map[core.Target]front.Assignment)
 	for id, a := range m.Targets {
@@ -72,7 +72,8 @@
 		}
 		grants[r.Target] = g
 		fronts[r.Target].Ranges[id] = front.Range{
-			Moving: r.State == core.RangeMoving, MemoryAt: r.MemoryAt, Base: baseOf(p, id),
+			Moving: r.State == core.RangeMoving, MemoryAt: r.MemoryAt,
+			New: r.NewFor == incarnation, Base: baseOf(p, id),
 		}
 	}
 	return grants, fronts
--- a/internal/app/status_test.go
+++ b/internal/app/status_test.go
@@ -33,7 +33,7 @@
 	platformServer := httptest.NewServer(log)
 	defer platformServer.Close()
 
-	document := "[deployment]\nname = d\nfailure_domains = d1\n[control]\ncandidates = 2\n[service s]\ndivision = key\nranges = 24\n"
+	document := "[deployment]\nname = d\nfailure_domains = d1\n[control]\ncandidates = 2\n[service s]\ndivision = key\nranges = 24\n[route get]\npath = /s/{k}\nservice = s\nkey = path:k\n"
 	for i := range 3 {
 		id := core.Target(fmt.Sprint("t", i))
 		s := target.NewServer(target.Options{ID: id, Slots: 4, Checks: true, Incarnation: 7}, 0, nil)
--- a/internal/coordinate/assign.go
+++ b/internal/coordinate/assign.go
@@ -124,12 +124,24 @@
 			continue
 		}
 		if to := d.pick(id, ""); to != "" {
+			r.newFor = 0
+			if !r.held && id.HotKey == 0 && c.neverServed() {
+				r.newFor = c.view.Members[h.targets[to].front].Incarnation
+			}
 			r.target, r.assumed, r.moving, r.held = to, "", false, true
 			h.dirty = true
 		}
 	}
 }
 
+// neverServed reports whether a range that this holder has not given out has
+// never been served: its coordinator is the failure domain's first, and no
+// range has changed its failure domain so far.
+func (c *Coordinator) neverServed() bool {
+	a := &c.authority
+	return a.isCoordinator() && a.term.PreviousNumber == 0 && !a.interrupted && c.folded.Delegation.Number == 0
+}
+
 // accounted reports whether no target of the service can hold a range that
 // this holder does not know of. Before the first term nobody gave out grants.
 func (c *Coordinator) accounted(s core.Service) bool {
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -103,6 +103,8 @@
 	to core.Target
 	// memoryAt are the VMs that hold its request ids from before its last move.
 	memoryAt []core.VM
+	// newFor is the front's incarnation that serves the range as the first ever.
+	newFor  uint64
 	movedAt  core.Instant
 }
 
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -60,7 +60,7 @@
 // assignment is what the map says of a range; it is also noted in the issue of
 // its target.
 func (h *holder) assignment(id core.RangeID, r *rangeState, issues map[core.Target]*issue) core.RangeAssignment {
-	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt}
+	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt, NewFor: r.newFor}
 	x := h.targets[r.target]
 	switch {
 	case r.target == "" && r.assumed != "":
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -247,9 +247,9 @@
 			return
 		}
 		answered = true
-		var page platformlog.Page
+		page := platformlog.Page{First: 1}
 		if int(o.From) <= len(w.log.entries) {
-			page.Entries = slices.Clone(w.log.entries[o.From-1:])
+			page.Entries = slices.Clone(w.log.entries[o.From-1 : min(len(w.log.entries), int(o.From)-1+o.Limit)])
 		}
 		ok := w.logReachable(v) && w.rand.Float64() >= w.lose
 		w.after(w.latency(), func() {
@@ -258,7 +258,7 @@
 			}
 			v.do(func() {
 				if ok {
-					v.stepReader(platformlog.PageRead{Began: began, Page: page})
+					v.stepReader(platformlog.PageRead{Began: began, From: o.From, Limit: o.Limit, Page: page})
 				} else {
 					v.stepReader(platformlog.ReadFailed{Err: errSim})
 				}
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -261,9 +261,10 @@
 	fmt.Fprintf(&b, "[deployment]\nname = sim\nfailure_domains = %s\n", strings.Join(p.domains, ","))
 	fmt.Fprintf(&b, "[control]\ncandidates = %d\nmove_after = %s\nmoves_in_flight = 2\n", p.candidates, p.moveAfter)
 	fmt.Fprintf(&b, "[service s]\ndivision = key\nranges = %d\nisolation = %s\n", p.ranges, p.isolation)
-	for _, t := range p.targets {
+	b.WriteString("[route get]\npath = /s/{k}\nservice = s\nkey = path:k\n")
+	for i, t := range p.targets {
 		id, domain, _ := strings.Cut(t, "@")
-		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:1\nslots = 4\nleaving = %t\n", id, domain, p.leaving[id])
+		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:%d\nslots = 4\nleaving = %t\n", id, domain, i+1, p.leaving[id])
 	}
 	return b.String()
 }
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -55,6 +55,10 @@
 	State  RangeState
 	// MemoryAt are the VMs that hold the range's request ids from before its move.
 	MemoryAt []VM
+	// NewFor is set for a range that nobody has served before: the incarnation
+	// of the front's process that has no request ids to recall. A process that
+	// replaces it can't know what it sent.
+	NewFor uint64
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -26,7 +26,7 @@
 		is := is.New(t)
 		targets := Plans[name].targets()
 		for i := range targets {
-			targets[i].address = "127.0.0.1:1"
+			targets[i].address = fmt.Sprint("127.0.0.1:", i+1)
 		}
 		p, err := policy.Parse([]byte(Plans[name].document(targets)))
 		is.NoErr(err)
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -22,6 +22,8 @@
 type custody struct {
 	// ready is set once the memory is complete, but for a gap.
 	ready bool
+	// first is set if nobody has served the range before.
+	first bool
 	// left is when the range was given up, 0 while it is this VM's.
 	left    core.Instant
 	began   core.Instant
@@ -81,7 +83,7 @@
 	for _, t := range f.targets {
 		for id, r := range t.assignment.Ranges {
 			mine[id] = struct{}{}
-			f.assignRange(id, sourcesOf(t.assignment, r))
+			f.assignRange(id, sourcesOf(t.assignment, r), r.New)
 		}
 	}
 	for id, c := range f.custody {
@@ -101,7 +103,7 @@
 // assignRange decides whether the memory of a range must be recalled: if the
 // range is new here, or the map names VMs that were not asked. A range that
 // moves between two targets of this front stays in its custody.
-func (f *Front) assignRange(id core.RangeID, from []core.VM) {
+func (f *Front) assignRange(id core.RangeID, from []core.VM, first bool) {
 	c := f.custody[id]
 	switch {
 	case c == nil || c.left != 0:
@@ -111,7 +113,7 @@
 		c.sources = sourceList(from)
 		return
 	}
-	f.custody[id] = &custody{sources: sourceList(from)}
+	f.custody[id] = &custody{sources: sourceList(from), first: first && c == nil}
 }
 
 func sourceList(vms []core.VM) []source {
@@ -164,6 +166,10 @@
 			continue
 		}
 		c.asking, c.began = true, now
+		if c.first {
+			t.ready(id, c)
+			continue
+		}
 		for i := range c.sources {
 			c.sources[i].asked = number
 			ask[c.sources[i].vm] = append(ask[c.sources[i].vm], id)
--- a/internal/front/messages.go
+++ b/internal/front/messages.go
@@ -107,6 +107,8 @@
 	Moving bool
 	// MemoryAt are the VMs that hold the request ids from before a move.
 	MemoryAt []core.VM
+	// New is set if nobody has served the range before.
+	New bool
 	// Base is the numbered range that a hot key belongs to.
 	Base core.RangeID
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -68,6 +68,7 @@
 			Target:   string(a.Target),
 			State:    uint32(a.State),
 			MemoryAt: vmsToPB(a.MemoryAt),
+			NewFor:   a.NewFor,
 		})
 	}
 	return out
@@ -97,6 +98,7 @@
 			Target:   core.Target(a.GetTarget()),
 			State:    core.RangeState(a.GetState()),
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
+			NewFor:   a.GetNewFor(),
 		}
 	}
 	return out
