platformlog: a policy that changes homes is a new delegation

A policy that changes a failure domain's capacity moves ranges to another one, which took them while the first still held them (random schedule). The fold now treats such a policy as a new delegation, for which releases are needed. A holder also releases ranges that it finds at its take-over. Random schedules cover two failure domains taken out and in.

--- a/internal/coordinate/domains.go
+++ b/internal/coordinate/domains.go
@@ -29,7 +29,7 @@
 	h := c.holder
 	for id, r := range h.ranges {
 		switch homed := c.isHomed(id); {
-		case !homed && r.target != "":
+		case !homed && r.target != "" && !(r.moving && r.to == ""):
 			h.startMove(r, "")
 		case homed && r.moving && r.to == "":
 			r.moving = false
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -169,7 +169,6 @@
 			h.ranges[id] = &rangeState{}
 		}
 	}
-	c.releaseAway()
 }
 
 // viewChanged notes VMs that were replaced: what they may extend has an end.
@@ -206,6 +205,7 @@
 	}
 	c.chooseFronts(now)
 	c.endLost(now)
+	c.releaseAway()
 	c.finishMoves(now)
 	c.assignFree(now)
 	c.leaveTargets(now)
--- a/internal/coordinate/random_test.go
+++ b/internal/coordinate/random_test.go
@@ -66,19 +66,23 @@
 func runSchedule(seed uint64) (*world, error) {
 	w := newWorld(seed)
 	w.tick = 50 * time.Millisecond
-	vms := []string{"a", "b", "c", "d"}[:2+w.rand.IntN(3)]
-	targets := []string{"t1", "t2", "t3"}
+	vms := []string{"a", "b", "c", "d", "e"}[:2+w.rand.IntN(4)]
+	targets := []string{"t1", "t2", "t3", "t4"}[:3+w.rand.IntN(2)]
+	domain := func(string) string { return "d1" }
+	if len(vms) > 3 && w.rand.IntN(2) == 0 {
+		domain = func(id string) string { return map[bool]string{true: "d2", false: "d1"}[strings.Contains("d e t3 t4", id)] }
+	}
 	isolation := []string{"keep", "yield"}[w.rand.IntN(2)]
 	run := func(format string, args ...any) error { return w.command(fmt.Sprintf(format, args...)) }
 	if err := run("policy ranges=6 candidates=%d isolation=%s move_after=1s", w.rand.IntN(4), isolation); err != nil {
 		return w, err
 	}
 	for _, id := range vms {
-		_ = run("vm %s d1", id)
+		_ = run("vm %s %s", id, domain(id))
 		_ = run("rate %s %f", id, 0.9975+0.005*w.rand.Float64())
 	}
 	for _, id := range targets {
-		_ = run("target %s d1", id)
+		_ = run("target %s %s", id, domain(id))
 		_ = run("rate %s %f", id, 0.9975+0.005*w.rand.Float64())
 	}
 	_ = run("start")
@@ -99,9 +103,9 @@
 }
 
 func (w *world) randomFault(vms, targets []string) []string {
-	all := slices.Concat([]string{"holder:d1", "holder:d1"}, vms, targets)
+	all := slices.Concat([]string{"holder:d1", "holder:" + w.document.domains[len(w.document.domains)-1]}, vms, targets)
 	one := func(from []string) string { return from[w.rand.IntN(len(from))] }
-	switch w.rand.IntN(13) {
+	switch w.rand.IntN(14) {
 	case 0, 1:
 		return []string{"kill " + one(all)}
 	case 2:
@@ -123,6 +127,8 @@
 	case 10:
 		clear(w.cuts)
 		return []string{"heal a log"}
+	case 11:
+		return []string{"domain " + one(w.document.domains) + " " + one([]string{"in", "out"})}
 	}
 	return w.randomPartition(slices.Concat(vms, targets, []string{"log"}))
 }
@@ -158,6 +164,9 @@
 			w.fault("thaw", id)
 		}
 	}
+	for _, d := range w.document.domains {
+		w.appendDomain(d, "in")
+	}
 	if err := w.awaitServed(8 * time.Second); err != nil {
 		return err
 	}
--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -143,20 +143,15 @@
 }
 
 func (w *world) submit() {
-	base := uint64(0)
-	for _, v := range w.vms {
-		base = max(base, v.folded.PolicyVersion)
-	}
-	w.appendRecord(platformlog.Record{Kind: platformlog.KindPolicy, ID: fmt.Sprint("policy", len(w.log.entries)), Base: base, Document: w.document.String()})
+	w.appendRecord(platformlog.Record{
+		Kind: platformlog.KindPolicy, ID: fmt.Sprint("policy", len(w.log.entries)),
+		Base: w.log.folded.PolicyVersion, Document: w.document.String(),
+	})
 }
 
 func (w *world) appendDomain(name, state string) {
-	base := uint64(0)
-	for _, v := range w.vms {
-		base = max(base, v.folded.Delegation.Number)
-	}
 	w.appendRecord(platformlog.Record{
-		Kind: platformlog.KindDomain, ID: fmt.Sprint("domain", len(w.log.entries)), Base: base,
+		Kind: platformlog.KindDomain, ID: fmt.Sprint("domain", len(w.log.entries)), Base: w.log.folded.Delegation.Number,
 		FailureDomain: core.FailureDomain(name), State: platformlog.DomainState(state),
 	})
 }
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -220,6 +220,7 @@
 // simLog is the platform's log.
 type simLog struct {
 	entries []platformlog.Entry
+	folded  platformlog.Folded
 	down    bool
 	// slow delays appends, which then take effect after their timeout.
 	slow    time.Duration
@@ -237,6 +238,7 @@
 	}
 	offset := uint64(len(w.log.entries) + 1)
 	w.log.entries = append(w.log.entries, platformlog.Entry{Offset: offset, Data: data})
+	w.log.folded, _ = w.log.folded.Apply(offset, r) // an error says that it was skipped
 	waiting := w.log.waiting
 	w.log.waiting = nil
 	for _, run := range waiting {
--- a/internal/platformlog/fold.go
+++ b/internal/platformlog/fold.go
@@ -112,9 +112,20 @@
 	if r.Base != f.PolicyVersion {
 		return f, fmt.Errorf("%w: policy base %d, in force %d", ErrStale, r.Base, f.PolicyVersion)
 	}
-	if _, err := policy.Parse([]byte(r.Document)); err != nil {
+	next, err := policy.Parse([]byte(r.Document))
+	if err != nil {
 		return f, fmt.Errorf("%w: %w", ErrDocument, err)
 	}
+	if old, err := policy.Parse([]byte(f.Document)); err == nil && f.PolicyVersion != 0 && !policy.SameHomes(old, next) {
+		// Ranges change their failure domain, which needs releases as after a
+		// change of the domains' states.
+		f.Delegation = Delegation{
+			Number:         offset,
+			States:         f.Delegation.States,
+			Released:       map[core.FailureDomain]bool{},
+			PreviousStates: f.Delegation.States,
+		}
+	}
 	f.PolicyVersion = offset
 	f.Document = r.Document
 	return f, nil
--- a/internal/policy/homes.go
+++ b/internal/policy/homes.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"slices"
+
 	"celeryhook.example/celeryhook/internal/core"
 )
 
@@ -31,6 +33,25 @@
 	return best, best != ""
 }
 
+// SameHomes reports whether all ranges have the same home under both policies,
+// whatever the states of the failure domains.
+func SameHomes(a, b *Policy) bool {
+	if !slices.Equal(a.FailureDomains, b.FailureDomains) || len(a.Services) != len(b.Services) {
+		return false
+	}
+	for name, s := range a.Services {
+		if other, ok := b.Services[name]; !ok || other.Ranges != s.Ranges {
+			return false
+		}
+		for _, d := range a.FailureDomains {
+			if a.DomainCapacity(name, d) != b.DomainCapacity(name, d) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // DomainCapacity returns the capacity of a service's targets in a failure
 // domain, without those that are leaving.
 func (p *Policy) DomainCapacity(s core.Service, d core.FailureDomain) float64 {
