--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -50,7 +50,7 @@
 		fronts[id] = front.Assignment{
 			Service: t.Service, Slots: t.Slots, Limits: p.Services[t.Service].Limits,
 			Token: a.Token, Leaving: a.Leaving || t.Leaving,
-			Witnesses: a.Witnesses, Previous: a.Previous,
+			Witnesses: a.Witnesses, Previous: a.Previous, PreviousSince: a.PreviousSince,
 			Ranges: make(map[core.RangeID]front.Range),
 		}
 	}
@@ -69,7 +69,8 @@
 		}
 		grants[r.Target] = g
 		fronts[r.Target].Ranges[id] = front.Range{
-			Moving: r.State == core.RangeMoving, MemoryAt: r.MemoryAt, Base: baseOf(p, id),
+			Moving: r.State == core.RangeMoving, Base: baseOf(p, id),
+			MemoryAt: r.MemoryAt, MemorySince: r.MemorySince,
 		}
 	}
 	return grants, fronts
--- a/internal/app/emit_witness.go
+++ b/internal/app/emit_witness.go
@@ -35,7 +35,7 @@
 
 // submitRecall asks a VM for its memory.
 func (p *Process) submitRecall(ctx context.Context, o front.Recall) {
-	done := front.Recalled{Target: o.Target, From: o.From, Number: o.Number, Ranges: o.Ranges}
+	done := front.Recalled{Target: o.Question.Target, From: o.From, Number: o.Number, Ranges: o.Question.Ranges}
 	err := p.memoryPool.Submit(ctx, func(ctx context.Context) {
 		memory, err := p.recallFrom(ctx, o)
 		done.Memory, done.Failed = memory, err != nil
@@ -90,13 +90,13 @@
 	defer cancel()
 	if o.From == p.settings.VM {
 		// The front knows its own memory; this VM may also be a witness.
-		return p.recallWitness(ctx, o.Target, o.Ranges)
+		return p.recallWitness(ctx, o.Question)
 	}
 	address, err := p.addressOf(ctx, o.From)
 	if err != nil {
 		return witness.Memory{}, err
 	}
-	return p.peers.Recall(ctx, address, o.Target, o.Ranges)
+	return p.peers.Recall(ctx, address, o.Question)
 }
 
 // storeForPeer stores another front's request ids at this VM.
@@ -114,12 +114,12 @@
 }
 
 // recallForPeer joins what this VM remembers as a front and as a witness.
-func (p *Process) recallForPeer(ctx context.Context, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
+func (p *Process) recallForPeer(ctx context.Context, q witness.Question) (witness.Memory, error) {
 	reply := make(chan witness.Memory, 1)
-	if err := p.fronts.Wait(ctx, front.Tell{Target: t, Ranges: ranges, Reply: reply}); err != nil {
+	if err := p.fronts.Wait(ctx, front.Tell{Question: q, Reply: reply}); err != nil {
 		return witness.Memory{}, err
 	}
-	kept, err := p.recallWitness(ctx, t, ranges)
+	kept, err := p.recallWitness(ctx, q)
 	if err != nil {
 		return witness.Memory{}, err
 	}
@@ -131,9 +131,9 @@
 	}
 }
 
-func (p *Process) recallWitness(ctx context.Context, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
+func (p *Process) recallWitness(ctx context.Context, q witness.Question) (witness.Memory, error) {
 	reply := make(chan witness.Memory, 1)
-	if err := p.witnesses.Wait(ctx, witness.Recall{Target: t, Ranges: ranges, Reply: reply}); err != nil {
+	if err := p.witnesses.Wait(ctx, witness.Recall{Question: q, Reply: reply}); err != nil {
 		return witness.Memory{}, err
 	}
 	select {
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -41,8 +41,12 @@
 	Witnesses []VM
 	// Previous are the VMs that may hold the request ids of earlier fronts.
 	Previous []VM
-	Token    Token
-	Leaving  bool
+	// PreviousSince is the token from which the last front and its witnesses
+	// were as they are in Previous. The memory of a VM that had no part in it
+	// from then on is not complete. Zero means that any counts.
+	PreviousSince Token
+	Token         Token
+	Leaving       bool
 }
 
 // RangeAssignment says which target owns a range.
@@ -51,6 +55,8 @@
 	State  RangeState
 	// MemoryAt are the VMs that hold the range's request ids from before its move.
 	MemoryAt []VM
+	// MemorySince is to MemoryAt what PreviousSince is to Previous.
+	MemorySince Token
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -14,8 +14,10 @@
 	ticket Ticket
 	submit Submit
 	target *target
-	sent   bool
+	sentAt core.Instant
 	until  core.Instant
+	// custody is that of the range when the call was started.
+	custody *custody
 	// needs is, per link of the target, the position up to which the witness
 	// must have confirmed.
 	needs []uint64
@@ -113,7 +115,7 @@
 // start gives a request a slot. A non-idempotent one is remembered here and at
 // all witnesses before it is sent.
 func (f *Front) start(now core.Instant, t *target, m Submit) {
-	c := &call{ticket: Ticket(f.number()), submit: m, target: t}
+	c := &call{ticket: Ticket(f.number()), submit: m, target: t, custody: f.custody[m.Request.Range]}
 	t.meter.advance(now, t.slots.used())
 	t.slots.take(m.Request.Range)
 	if m.Request.Idempotent {
@@ -168,7 +170,7 @@
 		f.abandon(c, Decision{Outcome: core.OutcomeMoved, Detail: "the range is moving"})
 		return
 	}
-	c.sent = true
+	c.sentAt = now
 	f.calls[c.ticket] = c
 	f.answer(m, Decision{Dispatch: &Dispatch{
 		Ticket:   c.ticket,
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,14 +28,17 @@
 	left    core.Instant
 	began   core.Instant
 	sources []source
-	asking  bool
+	// since is the least token of a memory that counts as complete.
+	since  core.Token
+	asking bool
 	// Requests from before gapEnd may be missing; at gapUntil those have been
 	// forgotten anyway. Both are 0 without a gap.
 	gapEnd, gapUntil core.Instant
-	// suspect is set when the target did not honour the grant with token any
-	// more: another front may have had the range since.
+	// token is the last one with which the target confirmed the range here.
+	token core.Token
+	// suspect is set when the target did not honour that token any more:
+	// another front may have had the range since.
 	suspect bool
-	token   core.Token
 }
 
 // source is a VM that may hold the range's request ids.
@@ -81,7 +86,7 @@
 	for _, t := range f.targets {
 		for id, r := range t.assignment.Ranges {
 			mine[id] = struct{}{}
-			f.assignRange(id, sourcesOf(t.assignment, r))
+			f.assignRange(id, custodyFrom(t.assignment, r))
 		}
 	}
 	for id, c := range f.custody {
@@ -91,27 +96,32 @@
 	}
 }
 
-func sourcesOf(a Assignment, r Range) []core.VM {
+// custodyFrom returns a custody that has yet to recall its memory from the VMs
+// that the map names.
+func custodyFrom(a Assignment, r Range) *custody {
 	if len(r.MemoryAt) > 0 {
-		return r.MemoryAt
+		return &custody{sources: sourceList(r.MemoryAt), since: r.MemorySince}
 	}
-	return a.Previous
+	return &custody{sources: sourceList(a.Previous), since: a.PreviousSince}
 }
 
-// assignRange decides whether the memory of a range must be recalled: if the
-// range is new here, or the map names VMs that were not asked. A range that
-// moves between two targets of this front stays in its custody.
-func (f *Front) assignRange(id core.RangeID, from []core.VM) {
+// assignRange decides whether the memory of a range must be recalled. It must
+// not if this front had a part in the range since the token that the map names,
+// or, for a map without such a token, if the map names no VM that was not asked.
+func (f *Front) assignRange(id core.RangeID, next *custody) {
 	c := f.custody[id]
 	switch {
-	case c == nil || c.left != 0:
-	case c.knows(from):
+	case c == nil:
+	case c.since == next.since && c.left == 0 && c.knows(next.sources):
 		return
-	case c.ready && slices.Contains(from, f.vm):
-		c.sources = sourceList(from)
+	case c.ready && !next.since.IsZero() && !c.token.Less(next.since):
+		c.left, c.since, c.sources = 0, next.since, next.sources
+		return
+	case c.ready && c.left == 0 && next.since.IsZero() && c.has(f.vm, next.sources):
+		c.sources = next.sources
 		return
 	}
-	f.custody[id] = &custody{sources: sourceList(from)}
+	f.custody[id] = next
 }
 
 func sourceList(vms []core.VM) []source {
@@ -122,24 +132,37 @@
 	return out
 }
 
-func (c *custody) knows(vms []core.VM) bool {
-	for _, vm := range vms {
-		if !slices.ContainsFunc(c.sources, func(s source) bool { return s.vm == vm }) {
-			return false
-		}
-	}
-	return true
+func (c *custody) has(vm core.VM, sources []source) bool {
+	return slices.ContainsFunc(sources, func(s source) bool { return s.vm == vm })
+}
+
+// knows reports whether all of the sources were asked.
+func (c *custody) knows(sources []source) bool {
+	return !slices.ContainsFunc(sources, func(s source) bool { return !c.has(s.vm, c.sources) })
 }
 
 // interrupt notes that the target does not honour the grant any more.
 func (f *Front) interrupt(t *target) {
 	for id := range t.assignment.Ranges {
 		if c := f.custody[id]; c != nil && c.ready {
-			c.suspect, c.token = true, t.view.Token
+			c.suspect = true
 		}
 	}
 }
 
+// addressee is whom to ask and from which token on its memory counts.
+type addressee struct {
+	vm    core.VM
+	since core.Token
+}
+
+func (a addressee) compare(b addressee) int {
+	if n := cmp.Compare(a.vm, b.vm); n != 0 {
+		return n
+	}
+	return a.since.Compare(b.since)
+}
+
 // startRecalls begins to recall the memory of ranges whose grant is confirmed.
 // Before that the earlier front could still send requests.
 func (f *Front) startRecalls(now core.Instant, t *target) {
@@ -147,45 +170,56 @@
 		return
 	}
 	number := f.number()
-	ask := make(map[core.VM][]core.RangeID)
+	ask := make(map[addressee][]core.RangeID)
 	if t.ramp.provisional && !t.rampAsked {
 		t.rampAsked = true
 		for _, vm := range t.assignment.Previous {
-			ask[vm] = nil
+			ask[addressee{vm: vm, since: t.assignment.PreviousSince}] = nil
 		}
 	}
-	for id := range t.assignment.Ranges {
+	for _, id := range t.ranges {
 		c := f.custody[id]
 		if _, ok := t.granted[id]; !ok || c == nil {
 			continue
 		}
-		c.recheck(t.view.Token)
+		if c.superseded(t.view.Token) {
+			c = &custody{sources: sourceList(c.vms()), since: c.since}
+			f.custody[id] = c
+			f.dropStale(t)
+		}
+		c.token, c.suspect = t.view.Token, false
 		if c.ready || c.asking {
 			continue
 		}
 		c.asking, c.began = true, now
 		for i := range c.sources {
 			c.sources[i].asked = number
-			ask[c.sources[i].vm] = append(ask[c.sources[i].vm], id)
+			to := addressee{vm: c.sources[i].vm, since: c.since}
+			ask[to] = append(ask[to], id)
 		}
 		f.conclude(now, t, c)
 	}
-	for vm, ranges := range ask {
-		slices.SortFunc(ranges, core.RangeID.Compare)
-		f.emit(Recall{Target: t.id, From: vm, Number: number, Ranges: ranges})
+	for _, to := range slices.SortedFunc(maps.Keys(ask), addressee.compare) {
+		f.emit(Recall{From: to.vm, Number: number, Question: witness.Question{Target: t.id, Ranges: ask[to], Since: to.since}})
 	}
 }
 
-// recheck clears a suspicion if the target took the same token again: with
-// another front in between it would have refused it.
-func (c *custody) recheck(token core.Token) {
-	if !c.suspect {
-		return
-	}
-	c.suspect = false
-	if token != c.token {
-		c.ready, c.asking = false, false
-		c.sources = sourceList(c.vms())
+// superseded reports whether another front may have had a suspect range. It
+// had not if the target took the same token again, which it would have refused
+// after another front's, or if the map names no front since then.
+func (c *custody) superseded(token core.Token) bool {
+	return c.suspect && token != c.token && (c.since.IsZero() || c.token.Less(c.since))
+}
+
+// dropStale ends the calls that were reserved under an earlier custody of
+// their range: the request may have run elsewhere since. It must come before
+// the first recall, whose records forgetting the call would erase.
+func (f *Front) dropStale(t *target) {
+	for _, c := range slices.Clone(t.reserved) {
+		if c.custody != f.custody[c.submit.Request.Range] {
+			t.reserved = slices.DeleteFunc(t.reserved, func(o *call) bool { return o == c })
+			f.abandon(c, Decision{Outcome: core.OutcomeMoved, Detail: "the range had another front"})
+		}
 	}
 }
 
@@ -217,8 +251,9 @@
 }
 
 func (f *Front) recalledRange(now core.Instant, t *target, asked core.RangeID, m Recalled) {
-	for id, c := range f.custody {
-		if id != asked && t.assignment.Ranges[id].Base != asked || !c.asking || c.ready {
+	for _, id := range t.ranges {
+		c := f.custody[id]
+		if id != asked && t.assignment.Ranges[id].Base != asked || c == nil || !c.asking || c.ready {
 			continue
 		}
 		i := slices.IndexFunc(c.sources, func(s source) bool { return s.vm == m.From && s.asked == m.Number })
@@ -234,10 +269,10 @@
 			t.ready(id, c)
 		case len(m.Ranges) > 1:
 			// One range may spoil the answer for all; ask for each alone.
-			f.ask(t, s, id)
+			f.ask(t, c, s, id)
 		case id.HotKey != 0 && !s.base:
 			s.base = true
-			f.ask(t, s, t.assignment.Ranges[id].Base)
+			f.ask(t, c, s, t.assignment.Ranges[id].Base)
 		default:
 			s.lacking = true
 		}
@@ -246,9 +281,11 @@
 }
 
 // ask asks one source for the memory of one range.
-func (f *Front) ask(t *target, s *source, id core.RangeID) {
+func (f *Front) ask(t *target, c *custody, s *source, id core.RangeID) {
 	s.asked = f.number()
-	f.emit(Recall{Target: t.id, From: s.vm, Number: s.asked, Ranges: []core.RangeID{id}})
+	f.emit(Recall{From: s.vm, Number: s.asked, Question: witness.Question{
+		Target: t.id, Ranges: []core.RangeID{id}, Since: c.since,
+	}})
 }
 
 // ready ends the recall of a range, whose records then go to the witnesses.
@@ -259,7 +296,7 @@
 
 // coverNew notes the ranges that came from another target of this front.
 func (f *Front) coverNew(t *target, before map[core.RangeID]Range) {
-	for id := range t.assignment.Ranges {
+	for _, id := range t.ranges {
 		if _, ok := before[id]; !ok && f.covered(id) {
 			t.uncovered = append(t.uncovered, id)
 		}
@@ -287,9 +324,9 @@
 			delete(f.custody, id)
 		}
 	}
-	for _, t := range f.targets {
+	for _, t := range f.order {
 		changed := false
-		for id := range t.assignment.Ranges {
+		for _, id := range t.ranges {
 			if c := f.custody[id]; c != nil && c.left == 0 {
 				changed = f.tickRange(now, t, id, c) || changed
 			}
@@ -314,7 +351,7 @@
 	}
 	for i := range c.sources {
 		if s := &c.sources[i]; s.asked == 0 && !s.lacking && !now.Before(s.retryAt) {
-			f.ask(t, s, id)
+			f.ask(t, c, s, id)
 		}
 	}
 	f.conclude(now, t, c)
@@ -328,15 +365,15 @@
 }
 
 // tell answers another front's question with this front's own memory.
-func (f *Front) tell(now core.Instant, m Tell) witness.Memory {
+func (f *Front) tell(now core.Instant, q witness.Question) witness.Memory {
 	out := witness.Memory{Complete: true}
-	for _, id := range m.Ranges {
-		out.Complete = out.Complete && f.covered(id)
+	for _, id := range q.Ranges {
+		out.Complete = out.Complete && f.covered(id) && !f.custody[id].token.Less(q.Since)
 	}
 	out.Records = f.memory.Select(now, func(held core.RangeID) bool {
-		return slices.ContainsFunc(m.Ranges, func(asked core.RangeID) bool { return witness.Covers(held, asked) })
+		return slices.ContainsFunc(q.Ranges, func(asked core.RangeID) bool { return witness.Covers(held, asked) })
 	})
-	if t := f.targets[m.Target]; t != nil {
+	if t := f.targets[q.Target]; t != nil {
 		out.RampLimit, out.Incarnation = t.ramp.limit, t.view.Incarnation
 	}
 	return out
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -66,7 +66,10 @@
 	case m.Outcome == core.OutcomeAnswered:
 		rec.State, rec.Response = witness.StateDone, m.Response
 	case m.Outcome.NotRun():
-		f.memory.Forget(key)
+		if c.custody == f.custody[r.Range] {
+			// Under a later custody the record may be that of another front's run.
+			f.memory.Forget(key)
+		}
 		f.resolve(key, Decision{Outcome: m.Outcome, Detail: "the first request with this id was not run"})
 		return
 	default:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,7 +27,9 @@
 	vm       core.VM
 	remember time.Duration
 	targets  map[core.Target]*target
-	calls    map[Ticket]*call
+	// order holds the targets by id, so that steps are deterministic.
+	order []*target
+	calls map[Ticket]*call
 	// last numbers dispatches and questions, so that no answer is taken for
 	// another.
 	last   uint64
@@ -70,7 +72,7 @@
 	case Recalled:
 		f.stepRecalled(now, m)
 	case Tell:
-		f.emit(Told{To: m.Reply, Memory: f.tell(now, m)})
+		f.emit(Told{To: m.Reply, Memory: f.tell(now, m.Question)})
 	}
 	out := f.out
 	f.out = nil
@@ -88,7 +90,7 @@
 	f.memory.Expire(now, f.remember)
 	f.expireWaiters(now)
 	f.tickCustody(now)
-	for _, t := range f.targets {
+	for _, t := range f.order {
 		t.settle(now)
 		f.expireQueued(now, t)
 		f.expireHeld(now, t)
--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -37,6 +37,7 @@
 	synced bool
 	// level is the cold-start limit that the witness has.
 	level   int
+	token   core.Token
 	retryAt core.Instant
 	sentAt  core.Instant
 }
@@ -81,6 +82,19 @@
 	}
 }
 
+// coverAgain repeats the covers of all ranges under a new token, which voids
+// the earlier ones at the witnesses.
+func (f *Front) coverAgain(t *target) {
+	for _, id := range t.ranges {
+		if !f.covered(id) {
+			continue
+		}
+		for _, l := range t.links {
+			l.addCover(id)
+		}
+	}
+}
+
 // assignLinks follows the target's list of witnesses.
 func (f *Front) assignLinks(now core.Instant, t *target) {
 	var links []*link
@@ -114,7 +128,7 @@
 	for _, k := range f.memory.Keys(func(held core.RangeID) bool { return held.Service == service }) {
 		l.add(k)
 	}
-	for id := range t.assignment.Ranges {
+	for _, id := range t.ranges {
 		if f.covered(id) {
 			l.addCover(id)
 		}
@@ -148,7 +162,7 @@
 	}
 	f.cover(t)
 	for _, l := range t.links {
-		level := l.level != t.ramp.limit || now.Sub(l.sentAt) >= linkIdle
+		level := l.level != t.ramp.limit || l.token != t.view.Token || now.Sub(l.sentAt) >= linkIdle
 		if l.busy != 0 || now.Before(l.retryAt) || len(l.pending) == 0 && !l.reset && !level {
 			continue
 		}
@@ -161,7 +175,7 @@
 	l.busy, l.sentAt = f.number(), now
 	l.sending = min(len(l.pending), batchSize)
 	l.whole = l.sending == len(l.pending)
-	l.level = t.ramp.limit
+	l.level, l.token = t.ramp.limit, t.view.Token
 	b := witness.Batch{
 		Front: f.vm, Target: t.id, Token: t.view.Token,
 		Reset: l.reset, Complete: l.whole,
@@ -169,6 +183,9 @@
 	}
 	for _, i := range l.pending[:l.sending] {
 		if i.key == (witness.Key{}) {
+			if !f.covered(i.cover) {
+				continue
+			}
 			b.Records = append(b.Records, witness.Record{Range: i.cover})
 		} else if r, ok := f.memory.Aged(now, i.key); ok {
 			b.Records = append(b.Records, r)
--- a/internal/front/messages.go
+++ b/internal/front/messages.go
@@ -71,8 +71,7 @@
 	}
 	// Tell asks for this front's own memory of ranges, for another front.
 	Tell struct {
-		Target core.Target
-		Ranges []core.RangeID
+		Question witness.Question
 		// Reply receives exactly one answer; it has room for it.
 		Reply chan<- witness.Memory
 	}
@@ -99,14 +98,17 @@
 	Witnesses []core.VM
 	// Previous are the VMs that hold the request ids of the front before.
 	Previous []core.VM
-	Ranges   map[core.RangeID]Range
+	// PreviousSince is the least token of a memory that counts as complete.
+	PreviousSince core.Token
+	Ranges        map[core.RangeID]Range
 }
 
 // Range is what the map says of one range of a target.
 type Range struct {
 	Moving bool
 	// MemoryAt are the VMs that hold the request ids from before a move.
-	MemoryAt []core.VM
+	MemoryAt    []core.VM
+	MemorySince core.Token
 	// Base is the numbered range that a hot key belongs to.
 	Base core.RangeID
 }
@@ -162,10 +164,9 @@
 	}
 	// Recall asks a VM for its memory of ranges. Its result is a Recalled.
 	Recall struct {
-		Target core.Target
-		From   core.VM
-		Number uint64
-		Ranges []core.RangeID
+		From     core.VM
+		Number   uint64
+		Question witness.Question
 	}
 	// Told answers a Tell.
 	Told struct {
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -1,6 +1,9 @@
 package front
 
 import (
+	"cmp"
+	"slices"
+
 	"celeryhook.example/celeryhook/internal/core"
 )
 
@@ -21,6 +24,8 @@
 	foreign bool
 	// since is when the call was known to run, until when it has ended for sure.
 	since, until core.Instant
+	// ended is set if the target's count shows that this many fewer run.
+	ended bool
 }
 
 func (s *slots) take(r core.RangeID) {
@@ -38,7 +43,15 @@
 	}
 }
 
-func (s *slots) used() int { return s.own + len(s.lost) }
+func (s *slots) used() int {
+	n := s.own
+	for _, l := range s.lost {
+		if !l.ended {
+			n++
+		}
+	}
+	return n
+}
 
 // lose counts a released request on until its end is certain.
 func (s *slots) lose(now core.Instant, r core.RangeID, until core.Instant) {
@@ -55,19 +68,21 @@
 }
 
 // reported takes the target's own count, read after sent: of the calls lost
-// before, no more than that can still run.
+// before, no more than that can still run. It isn't known which have ended, so
+// the slots of those that may run longest stay taken, and no range counts as
+// idle before the count is 0.
 func (s *slots) reported(n int, sent core.Instant) {
-	kept := s.lost[:0]
+	slices.SortStableFunc(s.lost, func(a, b lostCall) int { return cmp.Compare(b.until, a.until) })
 	older := 0
-	for _, l := range s.lost {
-		if !l.since.After(sent) {
-			if older++; older > n {
-				continue
-			}
+	for i := range s.lost {
+		if l := &s.lost[i]; !l.since.After(sent) {
+			older++
+			l.ended = l.ended || older > n
 		}
-		kept = append(kept, l)
 	}
-	s.lost = kept
+	if n == 0 {
+		s.lost = slices.DeleteFunc(s.lost, func(l lostCall) bool { return l.ended })
+	}
 }
 
 func (s *slots) forgetLost() { s.lost = nil }
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"celeryhook.example/celeryhook/internal/core"
@@ -12,12 +14,14 @@
 type target struct {
 	id         core.Target
 	assignment Assignment
-	view       grant.View
-	granted    map[core.RangeID]struct{}
-	slots      slots
-	ramp       ramp
-	queue      queue
-	held       []heldRequest
+	// ranges are those of the assignment, in order.
+	ranges  []core.RangeID
+	view    grant.View
+	granted map[core.RangeID]struct{}
+	slots   slots
+	ramp    ramp
+	queue   queue
+	held    []heldRequest
 	// reserved are the calls whose ids are being stored at the witnesses.
 	reserved []*call
 	// uncovered are ranges whose records the witnesses may lack.
@@ -80,8 +84,10 @@
 		before[id] = t.assignment.Ranges
 		t.assign(a)
 	}
+	f.order = slices.SortedFunc(maps.Values(f.targets), func(a, b *target) int { return cmp.Compare(a.id, b.id) })
 	f.assignCustody(now)
-	for _, t := range f.targets {
+	for _, t := range f.order {
+		f.dropStale(t)
 		f.coverNew(t, before[t.id])
 		f.startRecalls(now, t)
 		f.assignLinks(now, t)
@@ -92,6 +98,7 @@
 
 func (t *target) assign(a Assignment) {
 	t.assignment = a
+	t.ranges = slices.SortedFunc(maps.Keys(a.Ranges), core.RangeID.Compare)
 	t.slots.size = a.Slots
 	t.ramp.configure(a.Limits.ColdSlots, a.Limits.RampStep, a.Slots)
 }
@@ -138,6 +145,9 @@
 		}
 	}
 	f.startRecalls(now, t)
+	if old.Token != m.View.Token {
+		f.coverAgain(t)
+	}
 	f.replace(now, t)
 	f.flushLinks(now, t)
 	f.reportDrained(t)
@@ -157,9 +167,10 @@
 	first := !t.seen
 	t.seen = true
 	absent := !first && now.After(old.HeldUntil)
-	if first || absent {
-		// No deadline of an earlier front is later than its lease.
-		t.slots.foreign(v.InFlight-t.slots.own, now.Add(core.Lengthen(core.GrantLease)), v.Clock.Sent)
+	if first || absent || v.Token != old.Token {
+		// Another front may have had the target before this token, also if this
+		// one never heard of it. No deadline of it is later than its lease.
+		t.slots.foreign(v.InFlight-f.sentBefore(t, v.Clock.Sent), now.Add(core.Lengthen(core.GrantLease)), v.Clock.Sent)
 	}
 	t.slots.reported(v.InFlight, v.Clock.Sent)
 	switch {
@@ -174,17 +185,28 @@
 	}
 }
 
+// sentBefore counts the requests of this front that the target may have
+// counted in a reading taken after an instant.
+func (f *Front) sentBefore(t *target, at core.Instant) int {
+	n := 0
+	for _, c := range f.calls {
+		if c.target == t && !c.sentAt.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // reportDrained reports moving ranges that have nothing in flight.
 func (f *Front) reportDrained(t *target) {
 	var done []core.RangeID
-	for id, r := range t.assignment.Ranges {
-		if r.Moving && t.slots.idle(id) {
+	for _, id := range t.ranges {
+		if t.assignment.Ranges[id].Moving && t.slots.idle(id) {
 			done = append(done, id)
 		}
 	}
 	if len(done) == 0 {
 		return
 	}
-	slices.SortFunc(done, core.RangeID.Compare)
 	f.emit(Drained{Target: t.id, Ranges: done})
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -58,6 +58,8 @@
 			Previous:  vmsToPB(a.Previous),
 			Token:     tokenToPB(a.Token),
 			Leaving:   a.Leaving,
+
+			PreviousSince: tokenToPB(a.PreviousSince),
 		})
 	}
 	for id, a := range m.Ranges {
@@ -66,6 +68,8 @@
 			Target:   string(a.Target),
 			State:    uint32(a.State),
 			MemoryAt: vmsToPB(a.MemoryAt),
+
+			MemorySince: tokenToPB(a.MemorySince),
 		})
 	}
 	return out
@@ -86,6 +90,8 @@
 			Previous:  vmsFromPB(a.GetPrevious()),
 			Token:     tokenFromPB(a.GetToken()),
 			Leaving:   a.GetLeaving(),
+
+			PreviousSince: tokenFromPB(a.GetPreviousSince()),
 		}
 	}
 	for _, a := range m.GetRanges() {
@@ -93,6 +99,8 @@
 			Target:   core.Target(a.GetTarget()),
 			State:    core.RangeState(a.GetState()),
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
+
+			MemorySince: tokenFromPB(a.GetMemorySince()),
 		}
 	}
 	return out
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,8 +28,8 @@
 	Newer func(context.Context, uint64, map[core.FailureDomain]core.Token) ([]byte, []*core.RangeMap, error)
 	// Remember stores request ids of another VM's front.
 	Remember func(context.Context, witness.Batch) (witness.Stored, error)
-	// Recall returns what this VM remembers of a target and ranges.
-	Recall func(context.Context, core.Target, []core.RangeID) (witness.Memory, error)
+	// Recall returns what this VM remembers as a front and as a witness.
+	Recall func(context.Context, witness.Question) (witness.Memory, error)
 }
 
 // Server answers other VMs.
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -30,10 +30,10 @@
 	return witness.Stored{Stored: reply.GetStored(), Complete: reply.GetComplete()}, nil
 }
 
-// Recall asks another VM what it remembers of a target and ranges.
-func (c *Client) Recall(ctx context.Context, address string, t core.Target, ranges []core.RangeID) (witness.Memory, error) {
-	req := &peerpb.RecallRequest{Target: string(t)}
-	for _, r := range ranges {
+// Recall asks another VM what it remembers.
+func (c *Client) Recall(ctx context.Context, address string, q witness.Question) (witness.Memory, error) {
+	req := &peerpb.RecallRequest{Target: string(q.Target), Since: tokenToPB(q.Since)}
+	for _, r := range q.Ranges {
 		req.Ranges = append(req.Ranges, rangeToPB(r))
 	}
 	reply, err := c.to(address).Recall(ctx, req)
@@ -68,11 +68,11 @@
 
 // Recall implements peerpb.Peer.
 func (s *Server) Recall(ctx context.Context, r *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
-	ranges := make([]core.RangeID, len(r.GetRanges()))
-	for i, id := range r.GetRanges() {
-		ranges[i] = rangeFromPB(id)
+	q := witness.Question{Target: core.Target(r.GetTarget()), Since: tokenFromPB(r.GetSince())}
+	for _, id := range r.GetRanges() {
+		q.Ranges = append(q.Ranges, rangeFromPB(id))
 	}
-	memory, err := s.handlers.Recall(ctx, core.Target(r.GetTarget()), ranges)
+	memory, err := s.handlers.Recall(ctx, q)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/internal/witness/keeper.go
+++ b/internal/witness/keeper.go
@@ -27,8 +27,7 @@
 	}
 	// Recall asks for what is remembered of a target and its ranges.
 	Recall struct {
-		Target core.Target
-		Ranges []core.RangeID
+		Question Question
 		// Reply receives exactly one answer; it has room for it.
 		Reply chan<- Memory
 	}
@@ -102,7 +101,7 @@
 	case Remember:
 		return []Output{AnswerStored{To: m.Reply, Stored: k.remember(now, m.Batch)}}
 	case Recall:
-		return []Output{AnswerMemory{To: m.Reply, Memory: k.recall(now, m)}}
+		return []Output{AnswerMemory{To: m.Reply, Memory: k.recall(now, m.Question)}}
 	}
 	return nil
 }
@@ -132,6 +131,11 @@
 	if b.Reset {
 		r.fresh = make(map[core.RangeID]struct{})
 	}
+	if r.token.Less(b.Token) {
+		// What the front had under another token says nothing of this one.
+		clear(r.covered)
+		clear(r.fresh)
+	}
 	r.front, r.token, r.heard = b.Front, b.Token, now
 	r.rampLimit, r.incarnation = b.RampLimit, b.Incarnation
 	for _, rec := range b.Records {
@@ -157,20 +161,20 @@
 	return true
 }
 
-func (k *Keeper) recall(now core.Instant, m Recall) Memory {
+func (k *Keeper) recall(now core.Instant, q Question) Memory {
 	out := Memory{Complete: true}
-	for _, id := range m.Ranges {
-		out.Complete = out.Complete && k.complete(id)
+	for _, id := range q.Ranges {
+		out.Complete = out.Complete && k.complete(id, q.Since)
 	}
 	out.Records = k.store.Select(now, func(held core.RangeID) bool {
-		for _, asked := range m.Ranges {
+		for _, asked := range q.Ranges {
 			if Covers(held, asked) {
 				return true
 			}
 		}
 		return false
 	})
-	if r := k.replicas[m.Target]; r != nil {
+	if r := k.replicas[q.Target]; r != nil {
 		out.RampLimit, out.Incarnation = r.rampLimit, r.incarnation
 	}
 	return out
@@ -178,12 +182,12 @@
 
 // complete reports whether the newest copy that covers the range is complete.
 // An older copy of another front doesn't count: it lacks what came after it.
-func (k *Keeper) complete(id core.RangeID) bool {
+func (k *Keeper) complete(id core.RangeID, since core.Token) bool {
 	var newest *replica
 	for _, r := range k.replicas {
 		if _, ok := r.covered[id]; ok && (newest == nil || newest.token.Less(r.token)) {
 			newest = r
 		}
 	}
-	return newest != nil && newest.complete
+	return newest != nil && newest.complete && !newest.token.Less(since)
 }
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -109,6 +109,14 @@
 	Complete bool
 }
 
+// Question asks for what is remembered of a target and ranges.
+type Question struct {
+	Target core.Target
+	Ranges []core.RangeID
+	// Since is the least token of a memory that counts as complete.
+	Since core.Token
+}
+
 // Memory answers a question for remembered requests.
 type Memory struct {
 	// Complete is true if every request of the ranges that may have run is in
