--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -53,7 +53,7 @@
 		fronts[id] = front.Assignment{
 			Service: t.Service, Slots: t.Slots, Limits: p.Services[t.Service].Limits,
 			Token: a.Token, Leaving: a.Leaving || t.Leaving,
-			Witnesses: a.Witnesses, Previous: a.Previous,
+			Witnesses: a.Witnesses, Previous: a.Previous, PreviousSince: a.PreviousSince,
 			Ranges: make(map[core.RangeID]front.Range),
 		}
 	}
@@ -72,8 +72,8 @@
 		}
 		grants[r.Target] = g
 		fronts[r.Target].Ranges[id] = front.Range{
-			Moving: r.State == core.RangeMoving, MemoryAt: r.MemoryAt,
-			New: r.NewFor == incarnation, Base: baseOf(p, id),
+			Moving: r.State == core.RangeMoving, New: r.NewFor == incarnation, Base: baseOf(p, id),
+			MemoryAt: r.MemoryAt, MemorySince: r.MemorySince,
 		}
 	}
 	return grants, fronts
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -134,6 +134,7 @@
 	deferred    []func()
 	incarnation uint64
 	token       core.Token
+	granted     core.Token
 	front       core.VM
 	ranges      []core.RangeID
 	leaseEnd    grant.TargetClock
@@ -164,7 +165,7 @@
 		t.w.check(t, o)
 	}
 	r := grant.OrderReply{
-		Accepted: reason == "", Reason: reason, Token: t.token, Held: t.held(), LeaseEnd: t.leaseEnd,
+		Accepted: reason == "", Reason: reason, Token: t.token, Granted: t.granted, Held: t.held(), LeaseEnd: t.leaseEnd,
 		Clock: t.clock(), Incarnation: t.incarnation, Draining: t.draining,
 	}
 	if r.Held {
@@ -187,7 +188,7 @@
 		if order < 0 || order == 0 && t.front != "" && t.front != o.Front {
 			return "older token"
 		}
-		t.token, t.front, t.leaseEnd = o.Token, o.Front, o.LeaseEnd
+		t.token, t.granted, t.front, t.leaseEnd = o.Token, o.Token, o.Front, o.LeaseEnd
 		t.ranges = append([]core.RangeID(nil), o.Ranges...)
 	case grant.OrderRenew:
 		if order != 0 || !t.held() || t.front != o.Front {
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -41,7 +41,11 @@
 	Witnesses []VM
 	// Previous are the VMs that may hold the request ids of earlier fronts.
 	Previous []VM
-	Token    Token
+	// PreviousSince is the token from which the last front and its witnesses
+	// were as they are in Previous. The memory of a VM that had no part in it
+	// from then on is not complete. Zero means that any counts.
+	PreviousSince Token
+	Token         Token
 	// Incarnation is the target's incarnation for which the assignment is
 	// made. A target that restarts forgets its fence, so a front gives its
 	// grant to no other incarnation.
@@ -59,6 +63,8 @@
 	// of the front's process that has no request ids to recall. A process that
 	// replaces it can't know what it sent.
 	NewFor uint64
+	// MemorySince is to MemoryAt what PreviousSince is to Previous.
+	MemorySince Token
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -59,7 +59,8 @@
 			Token:     tokenToPB(a.Token),
 			Leaving:   a.Leaving,
 
-			Incarnation: a.Incarnation,
+			Incarnation:   a.Incarnation,
+			PreviousSince: tokenToPB(a.PreviousSince),
 		})
 	}
 	for id, a := range m.Ranges {
@@ -69,6 +70,8 @@
 			State:    uint32(a.State),
 			MemoryAt: vmsToPB(a.MemoryAt),
 			NewFor:   a.NewFor,
+
+			MemorySince: tokenToPB(a.MemorySince),
 		})
 	}
 	return out
@@ -90,7 +93,8 @@
 			Token:     tokenFromPB(a.GetToken()),
 			Leaving:   a.GetLeaving(),
 
-			Incarnation: a.GetIncarnation(),
+			Incarnation:   a.GetIncarnation(),
+			PreviousSince: tokenFromPB(a.GetPreviousSince()),
 		}
 	}
 	for _, a := range m.GetRanges() {
@@ -99,6 +103,8 @@
 			State:    core.RangeState(a.GetState()),
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
 			NewFor:   a.GetNewFor(),
+
+			MemorySince: tokenFromPB(a.GetMemorySince()),
 		}
 	}
 	return out
--- a/standin/target/machine.go
+++ b/standin/target/machine.go
@@ -24,10 +24,12 @@
 
 // Machine is the step that owns the grant, the faults and the log of runs.
 type Machine struct {
-	options  Options
-	faults   Faults
-	random   *rand.Rand
-	token    core.Token
+	options Options
+	faults  Faults
+	random  *rand.Rand
+	token   core.Token
+	// granted is the token of the last grant that was taken.
+	granted  core.Token
 	front    core.VM
 	ranges   []core.RangeID
 	leaseEnd grant.TargetClock
--- a/standin/target/order.go
+++ b/standin/target/order.go
@@ -19,6 +19,7 @@
 		Token:       m.token,
 		Held:        m.held(clock),
 		LeaseEnd:    m.leaseEnd,
+		Granted:     m.granted,
 		Clock:       clock,
 		Incarnation: m.options.Incarnation,
 		InFlight:    m.inFlight,
@@ -78,6 +79,7 @@
 	}
 	m.token, m.front, m.leaseEnd = o.Token, o.Front, o.LeaseEnd
 	if o.Kind == grant.OrderTake {
+		m.granted = o.Token
 		m.ranges = slices.Clone(o.Ranges)
 	}
 }
