route, front: load benchmark, tests of the edges; a range that is new needs no memory

Cause: at the first start every range had a gap, so that bookings with ids of the caller's own were answered unknown for the remember time; and a target's restart was noticed only at the next renewal of its grant. Change: the map may say for which process of a front a range is new (first_for). Responses carry the target's incarnation to the front. The usual latency is a long average, since a short one followed a slow target before it was noticed. A model with slots, stragglers and cold starts compares with two baselines.

--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -27,7 +27,7 @@
 		}
 		p.acceptor.Apply(o.Policy)
 		if o.Own != nil {
-			grants, fronts := assignments(p.settings.VM, o.Policy, o.Own)
+			grants, fronts := assignments(p.settings.VM, p.incarnation, o.Policy, o.Own)
 			_ = p.grants.Put(ctx, grant.Assigned{Targets: grants})
 			remember := o.Policy.Control.Remember
 			// An assignment isn't repeated, so it waits for room.
@@ -37,8 +37,8 @@
 	}
 }
 
-// assignments picks out of a map what concerns one VM's targets.
-func assignments(vm core.VM, p *policy.Policy, m *core.RangeMap) (map[core.Target]grant.Assignment, map[core.Target]front.Assignment) {
+// assignments picks out of a map what concerns the targets of one VM's process.
+func assignments(vm core.VM, incarnation uint64, p *policy.Policy, m *core.RangeMap) (map[core.Target]grant.Assignment, map[core.Target]front.Assignment) {
 	grants := make(map[core.Target]grant.Assignment)
 	fronts := make(map[core.Target]front.Assignment)
 	for id, a := range m.Targets {
@@ -71,6 +71,7 @@
 		fronts[r.Target].Ranges[id] = front.Range{
 			Moving: r.State == core.RangeMoving, Base: baseOf(p, id),
 			MemoryAt: r.MemoryAt, MemorySince: r.MemorySince,
+			First: r.FirstFor != 0 && r.FirstFor == incarnation,
 		}
 	}
 	return grants, fronts
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -45,10 +45,12 @@
 // Process holds the rings, pools and edges of an entry VM.
 type Process struct {
 	settings settings.Entry
-	clock    duty.Clock
-	log      logr.Logger
-	tracer   trace.Tracer
-	platform platformlog.Log
+	// incarnation tells this process from earlier ones under the VM's id.
+	incarnation uint64
+	clock       duty.Clock
+	log         logr.Logger
+	tracer      trace.Tracer
+	platform    platformlog.Log
 
 	reader      *ring.Ring[platformlog.Message]
 	members     *ring.Ring[membership.Message]
@@ -78,6 +80,7 @@
 func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, platform platformlog.Log) *Process {
 	p := &Process{
 		settings:    s,
+		incarnation: uint64(time.Now().UnixNano()),
 		clock:       clock,
 		log:         log,
 		tracer:      tracer,
@@ -156,7 +159,7 @@
 		VM:            p.settings.VM,
 		FailureDomain: p.settings.FailureDomain,
 		Address:       p.settings.PeersAddress,
-		Incarnation:   uint64(time.Now().UnixNano()),
+		Incarnation:   p.incarnation,
 		Capacity:      p.settings.Capacity,
 	}
 }
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -57,6 +57,10 @@
 	MemoryAt []VM
 	// MemorySince is to MemoryAt what PreviousSince is to Previous.
 	MemorySince Token
+	// FirstFor is the incarnation of the front's process if no front had the
+	// range before, so that there are no request ids to recall; else 0. A
+	// process that replaces it under the VM's id has another incarnation.
+	FirstFor uint64
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -73,6 +73,8 @@
 		Latency:   l.clock().Sub(began),
 		Shed:      answer.Response.NotRun && answer.Response.Status == http.StatusServiceUnavailable,
 		Cancelled: ctx.Err() != nil,
+
+		Incarnation: answer.Response.Incarnation,
 	}
 	if !call.Request.Idempotent && answer.Outcome == core.OutcomeAnswered && len(answer.Response.Body) <= maxStoredBody {
 		r := answer.Response
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -99,8 +99,11 @@
 // custodyFrom returns a custody that has yet to recall its memory from the VMs
 // that the map names.
 func custodyFrom(a Assignment, r Range) *custody {
-	if len(r.MemoryAt) > 0 {
+	switch {
+	case len(r.MemoryAt) > 0:
 		return &custody{sources: sourceList(r.MemoryAt), since: r.MemorySince}
+	case r.First:
+		return &custody{ready: true}
 	}
 	return &custody{sources: sourceList(a.Previous), since: a.PreviousSince}
 }
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -21,9 +21,10 @@
 	t := c.target
 	t.settle(now)
 	t.slots.release(c.submit.Request.Range)
+	t.noteIncarnation(m.Incarnation)
 	switch {
 	case m.Outcome == core.OutcomeAnswered:
-		t.ramp.measure(now, m.Latency, &t.latency)
+		t.ramp.measure(now, m.Latency)
 		t.latency.Observe(m.Latency)
 		t.ramp.succeed()
 	case m.Outcome.NotRun():
@@ -48,6 +49,16 @@
 	f.reportDrained(t)
 }
 
+// noteIncarnation starts the ramp again at the first response of a target that
+// was started anew, which comes before the next renewal of its grant.
+func (t *target) noteIncarnation(now uint64) {
+	if now != 0 && now > t.incarnation && t.incarnation != 0 {
+		t.ramp.cool()
+		t.slots.forgetLost()
+	}
+	t.incarnation = max(t.incarnation, now)
+}
+
 // lostUntil is when a request without a response has ended for sure.
 func lostUntil(now core.Instant, c *call, m Finished) core.Instant {
 	if m.Cancelled && !c.target.ramp.isCold() {
--- a/internal/front/messages.go
+++ b/internal/front/messages.go
@@ -34,6 +34,8 @@
 		Shed bool
 		// Cancelled is set if this side ended the request early.
 		Cancelled bool
+		// Incarnation is that of the target in its response, 0 without one.
+		Incarnation uint64
 		// Response is set for OutcomeAnswered of a non-idempotent request.
 		Response *witness.Response
 	}
@@ -109,6 +111,8 @@
 	// MemoryAt are the VMs that hold the request ids from before a move.
 	MemoryAt    []core.VM
 	MemorySince core.Token
+	// First is set if no front had the range before this one.
+	First bool
 	// Base is the numbered range that a hot key belongs to.
 	Base core.RangeID
 }
--- a/internal/front/ramp.go
+++ b/internal/front/ramp.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
-	"celeryhook.example/celeryhook/internal/estimate"
 )
 
 const (
@@ -27,6 +26,8 @@
 	limit            int
 	successes        int
 	sheds, slow      int
+	usual            time.Duration
+	samples          int
 	cooledAt         core.Instant
 	// provisional is set while the level that the last front recorded is unknown.
 	provisional bool
@@ -88,9 +89,15 @@
 	}
 }
 
-// measure compares a latency with the average before it.
-func (r *ramp) measure(now core.Instant, d time.Duration, usual *estimate.Latency) {
-	if usual.Samples() < minBaseline || d < slowFactor*usual.Mean() {
+// measure compares a latency with the usual one, an average so long that a few
+// slow responses don't move it.
+func (r *ramp) measure(now core.Instant, d time.Duration) {
+	if r.samples < usualSamples {
+		r.samples++
+	}
+	usual := r.usual
+	r.usual += (d - r.usual) / time.Duration(r.samples)
+	if r.samples < minBaseline || d < slowFactor*usual {
 		r.slow = 0
 		return
 	}
@@ -99,8 +106,12 @@
 	}
 }
 
-// minBaseline is the least number of samples that make a usual latency.
-const minBaseline = 32
+const (
+	// usualSamples is the length of the average that gives the usual latency.
+	usualSamples = 512
+	// minBaseline is the least number of samples that make a usual latency.
+	minBaseline = 32
+)
 
 // find cools the target for what was measured, but not again too soon.
 func (r *ramp) find(now core.Instant) {
--- a/internal/front/script_test.go
+++ b/internal/front/script_test.go
@@ -83,6 +83,15 @@
 		s.submit(core.VM(arg(1)), arg(2), values)
 	case "pass":
 		s.w.pass(s.duration(arg(1)))
+	case "repeat":
+		// repeat COUNT HOW: so many requests, one after the other.
+		for i := range s.number(arg(1)) {
+			name := fmt.Sprintf("%s-%d-%d", arg(2), s.w.now, i)
+			s.submit(s.w.order[0], name, map[string]string{"class": "lookup"})
+			s.w.pass(10 * time.Millisecond)
+			s.end(name, arg(2))
+			s.w.take(s.w.order[0])
+		}
 	case "end":
 		s.end(arg(1), arg(2))
 	case "crash":
@@ -158,7 +167,9 @@
 	a.Leaving = values["leaving"] == "yes"
 	for state, list := range map[bool]string{false: values["ranges"], true: values["moving"]} {
 		for _, n := range vms(list) {
-			a.Ranges[rangeNumber(uint32(s.number(string(n))))] = Range{Moving: state, MemoryAt: vms(values["memory"])}
+			a.Ranges[rangeNumber(uint32(s.number(string(n))))] = Range{
+				Moving: state, MemoryAt: vms(values["memory"]), First: values["first"] == "yes",
+			}
 		}
 	}
 	return a
@@ -220,6 +231,10 @@
 	case "shed":
 		s.w.target.ran[r.request.ID]--
 		s.w.end(r, Finished{Outcome: core.OutcomeNotRun, Shed: true})
+	case "slow":
+		// The response comes late enough to count as slow.
+		s.w.now = s.w.now.Add(200 * time.Millisecond)
+		s.w.end(r, answeredRun(r.request))
 	case "early":
 		// The edge lost the connection; the target goes on.
 		r.finish(Finished{Outcome: core.OutcomeUnknown})
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -31,6 +31,8 @@
 	meter     meter
 	// seen is set once a grant was held.
 	seen bool
+	// incarnation is the newest that the target has shown.
+	incarnation uint64
 	// rampAsked is set once the earlier front was asked for the cold-start level.
 	rampAsked bool
 	// removed is set once the target is no longer this VM's.
@@ -173,13 +175,10 @@
 		t.slots.foreign(v.InFlight-f.sentBefore(t, v.Clock.Sent), now.Add(core.Lengthen(core.GrantLease)), v.Clock.Sent)
 	}
 	t.slots.reported(v.InFlight, v.Clock.Sent)
+	t.noteIncarnation(v.Incarnation)
 	switch {
 	case first:
 		t.ramp.begin(v.Cold)
-	case v.Incarnation != old.Incarnation:
-		// A target that was started anew runs nothing that came before.
-		t.ramp.cool()
-		t.slots.forgetLost()
 	case absent, v.Cold && !old.Cold:
 		t.ramp.cool()
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -70,6 +70,7 @@
 			MemoryAt: vmsToPB(a.MemoryAt),
 
 			MemorySince: tokenToPB(a.MemorySince),
+			FirstFor:    a.FirstFor,
 		})
 	}
 	return out
@@ -101,6 +102,7 @@
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
 
 			MemorySince: tokenFromPB(a.GetMemorySince()),
+			FirstFor:    a.GetFirstFor(),
 		}
 	}
 	return out
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -69,6 +69,10 @@
 	if !o.NotRun() || o == core.OutcomeBadRequest || attempts >= MaxAttempts {
 		return 0, false
 	}
+	if o == core.OutcomeOverloaded && !idempotent {
+		// Only its own front may take it, which has just refused it.
+		return 0, false
+	}
 	if idempotent && attempts == 1 && (o == core.OutcomeNotRun || o == core.OutcomeOverloaded) {
 		// Another target may take it at once.
 		return 0, true
--- /dev/null
+++ b/internal/route/load_bench_test.go
@@ -0,0 +1,86 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// deployments are the sizes of docs/design.md section 1.1.
+var deployments = []struct {
+	name     string
+	services []deployment
+}{
+	{"bratislava", deploymentOf(
+		[]core.FailureDomain{"ba-petrzalka", "ba-ruzinov", "ba-dubravka"}, 10, 6, 100, time.Millisecond,
+		deployment{service: "rozvrh", divided: true, targets: 10},
+		deployment{service: "rezervacie", targets: 6},
+		deployment{service: "macky", targets: 10},
+	)},
+	{"great-lakes", deploymentOf(
+		[]core.FailureDomain{"duluth", "marquette", "thunder-bay"}, 12, 4, 60, 1500*time.Microsecond,
+		deployment{service: "template-lib", targets: 15},
+		deployment{service: "bench-desk", targets: 6},
+		deployment{service: "class-board", divided: true, targets: 15},
+	)},
+}
+
+func deploymentOf(domains []core.FailureDomain, vms, slots, connections int, hop time.Duration, services ...deployment) []deployment {
+	for i := range services {
+		s := &services[i]
+		s.domains, s.vms, s.slots, s.connections, s.hop, s.load = domains, vms, slots, connections, hop, 0.6
+	}
+	return services
+}
+
+var systems = []struct {
+	name  string
+	build func(*model) system
+}{
+	{"celeryhook", celeryhook},
+	{"least-connections", leastConnections},
+	{"round-robin", roundRobin},
+}
+
+// loadSeed makes all systems get the same arrivals in the same order of draws.
+const loadSeed = 20261204
+
+// BenchmarkLoad runs each service of both deployments at 60% of its slots, with
+// a straggler and a cold start, and reports latencies, imbalance and refusals:
+//
+//	go test ./internal/route -run '^$' -bench BenchmarkLoad -benchtime 1x
+func BenchmarkLoad(b *testing.B) {
+	for _, d := range deployments {
+		for _, s := range d.services {
+			for _, y := range systems {
+				b.Run(fmt.Sprintf("%s/%s/%s", d.name, s.service, y.name), func(b *testing.B) {
+					var m *model
+					for range b.N {
+						m = newModel(s, loadSeed, y.build)
+						m.run()
+					}
+					report(b, m)
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, m *model) {
+	ms := func(q float64) float64 { return float64(m.latency.ValueAtQuantile(q)) / 1000 }
+	share := func(n int) float64 { return 100 * float64(n) / float64(m.arrivals) }
+	b.ReportMetric(ms(50), "p50-ms")
+	b.ReportMetric(ms(99), "p99-ms")
+	b.ReportMetric(ms(99.9), "p999-ms")
+	b.ReportMetric(m.calm, "imbalance")
+	b.ReportMetric(share(m.refused), "refused-%")
+	b.ReportMetric(share(m.late), "unknown-%")
+	b.ReportMetric(float64(m.servers[1].overCold), "over-cold")
+	if h, ok := m.system.(*hook); ok {
+		b.ReportMetric(share(h.hedges), "hedges-%")
+		b.ReportMetric(share(h.retries), "retries-%")
+		b.ReportMetric(float64(h.outOf), "over-slots")
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -58,6 +58,8 @@
 	// NotRun is set if the target refused the request before running it.
 	NotRun bool
 	Reason string
+	// Incarnation is the target's, 0 if the response has none.
+	Incarnation uint64
 }
 
 // Client sends orders and requests to targets.
@@ -150,12 +152,15 @@
 	if got := res.Header.Get(HeaderAttempt); got != strconv.FormatUint(uint64(s.Attempt), 10) {
 		return Response{}, fmt.Errorf("%w: %s: wanted attempt %d, got %q", ErrCrossed, address, s.Attempt, got)
 	}
+	// A header that is missing or malformed counts as no incarnation.
+	incarnation, _ := strconv.ParseUint(res.Header.Get(HeaderIncarnation), 10, 64)
 	return Response{
-		Status: res.StatusCode,
-		Header: res.Header,
-		Body:   body,
-		NotRun: res.Header.Get(HeaderNotRun) == "1",
-		Reason: reasonOf(res, body),
+		Status:      res.StatusCode,
+		Header:      res.Header,
+		Body:        body,
+		NotRun:      res.Header.Get(HeaderNotRun) == "1",
+		Reason:      reasonOf(res, body),
+		Incarnation: incarnation,
 	}, nil
 }
 
