--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// assignments picks out of a map what concerns one VM's targets.
+// assignments picks out of a map what concerns the targets of one VM's process.
 func assignments(vm core.VM, incarnation uint64, p *policy.Policy, m *core.RangeMap) (map[core.Target]grant.Assignment, map[core.Target]front.Assignment) {
 	grants := make(map[core.Target]grant.Assignment)
 	fronts := make(map[core.Target]front.Assignment)
@@ -72,8 +72,9 @@
 		}
 		grants[r.Target] = g
 		fronts[r.Target].Ranges[id] = front.Range{
-			Moving: r.State == core.RangeMoving, New: r.NewFor == incarnation, Base: baseOf(p, id),
+			Moving: r.State == core.RangeMoving, Base: baseOf(p, id),
 			MemoryAt: r.MemoryAt, MemorySince: r.MemorySince,
+			First: r.FirstFor != 0 && r.FirstFor == incarnation,
 		}
 	}
 	return grants, fronts
--- a/internal/coordinate/assign.go
+++ b/internal/coordinate/assign.go
@@ -124,9 +124,9 @@
 			continue
 		}
 		if to := d.pick(id, ""); to != "" {
-			r.newFor = 0
+			r.firstFor = 0
 			if !r.held && id.HotKey == 0 && c.neverServed() {
-				r.newFor = c.view.Members[h.targets[to].front].Incarnation
+				r.firstFor = c.view.Members[h.targets[to].front].Incarnation
 			}
 			r.target, r.assumed, r.moving, r.held = to, "", false, true
 			h.dirty = true
--- a/internal/coordinate/fronts.go
+++ b/internal/coordinate/fronts.go
@@ -93,7 +93,7 @@
 		for _, r := range c.holder.ranges {
 			if r.target == x.id {
 				// The old front may have sent requests for the range since it came.
-				r.memoryAt, r.memorySince = nil, core.Token{}
+				r.memoryAt, r.memorySince, r.firstFor = nil, core.Token{}, 0
 			}
 		}
 		x.quietAt = max(x.quietAt, now.Add(core.Lengthen(core.GrantLease)))
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -110,9 +110,9 @@
 	memorySince core.Token
 	// served is the token of the last assignment under which it was served.
 	served core.Token
-	// newFor is the front's incarnation that serves the range as the first ever.
-	newFor  uint64
-	movedAt core.Instant
+	// firstFor is the front's incarnation that serves the range as the first ever.
+	firstFor uint64
+	movedAt  core.Instant
 }
 
 type reportMark struct {
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -65,7 +65,7 @@
 // assignment is what the map says of a range; it is also noted in the issue of
 // its target.
 func (h *holder) assignment(id core.RangeID, r *rangeState, issues map[core.Target]*issue) core.RangeAssignment {
-	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt, MemorySince: r.memorySince, NewFor: r.newFor}
+	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt, MemorySince: r.memorySince, FirstFor: r.firstFor}
 	x := h.targets[r.target]
 	switch {
 	case r.target == "" && r.assumed != "":
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -200,7 +200,7 @@
 
 func (r *rangeState) free(now core.Instant, x *targetState) {
 	r.target, r.moving = "", false
-	r.memoryAt, r.memorySince, r.movedAt = x.memory(), r.served, now
+	r.memoryAt, r.memorySince, r.movedAt, r.firstFor = x.memory(), r.served, now, 0
 }
 
 // stopped reports whether no VM extends the grant of a target any more. The
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -59,12 +59,12 @@
 	State  RangeState
 	// MemoryAt are the VMs that hold the range's request ids from before its move.
 	MemoryAt []VM
-	// NewFor is set for a range that nobody has served before: the incarnation
-	// of the front's process that has no request ids to recall. A process that
-	// replaces it can't know what it sent.
-	NewFor uint64
 	// MemorySince is to MemoryAt what PreviousSince is to Previous.
 	MemorySince Token
+	// FirstFor is the incarnation of the front's process if no front had the
+	// range before, so that there are no request ids to recall; else 0. A
+	// process that replaces it under the VM's id has another incarnation.
+	FirstFor uint64
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -24,8 +24,6 @@
 type custody struct {
 	// ready is set once the memory is complete, but for a gap.
 	ready bool
-	// first is set if nobody has served the range before.
-	first bool
 	// left is when the range was given up, 0 while it is this VM's.
 	left    core.Instant
 	began   core.Instant
@@ -101,10 +99,13 @@
 // custodyFrom returns a custody that has yet to recall its memory from the VMs
 // that the map names.
 func custodyFrom(a Assignment, r Range) *custody {
-	if len(r.MemoryAt) > 0 {
-		return &custody{sources: sourceList(r.MemoryAt), since: r.MemorySince, first: r.New}
+	switch {
+	case len(r.MemoryAt) > 0:
+		return &custody{sources: sourceList(r.MemoryAt), since: r.MemorySince}
+	case r.First:
+		return &custody{ready: true}
 	}
-	return &custody{sources: sourceList(a.Previous), since: a.PreviousSince, first: r.New}
+	return &custody{sources: sourceList(a.Previous), since: a.PreviousSince}
 }
 
 // assignRange decides whether the memory of a range must be recalled. It must
@@ -123,7 +124,6 @@
 		c.sources = next.sources
 		return
 	}
-	next.first = next.first && c == nil
 	f.custody[id] = next
 }
 
@@ -195,10 +195,6 @@
 			continue
 		}
 		c.asking, c.began = true, now
-		if c.first {
-			t.ready(id, c)
-			continue
-		}
 		for i := range c.sources {
 			c.sources[i].asked = number
 			to := addressee{vm: c.sources[i].vm, since: c.since}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -69,9 +69,9 @@
 			Target:   string(a.Target),
 			State:    uint32(a.State),
 			MemoryAt: vmsToPB(a.MemoryAt),
-			NewFor:   a.NewFor,
 
 			MemorySince: tokenToPB(a.MemorySince),
+			FirstFor:    a.FirstFor,
 		})
 	}
 	return out
@@ -102,9 +102,9 @@
 			Target:   core.Target(a.GetTarget()),
 			State:    core.RangeState(a.GetState()),
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
-			NewFor:   a.GetNewFor(),
 
 			MemorySince: tokenFromPB(a.GetMemorySince()),
+			FirstFor:    a.GetFirstFor(),
 		}
 	}
 	return out
