front: a later attempt of the same flow proves that earlier ones were not run

Cause: a front that gives a target up abandons requests whose ids are already at a witness. The entry VM passes them on to the next front, which recalled the id from the witness and answered 'unknown'. Ruled out: sending a correction to the witness, as a delayed one could erase the record of a later attempt that ran. Change: requests carry the entry VM's flow; a front drops the record of an earlier attempt of the same flow, since the entry VM makes another attempt only after a proof that the last one was not run.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -38,6 +38,11 @@
 type Request struct {
 	ID      RequestID
 	Attempt uint32
+	// Flow identifies one serving of a request by an entry VM, over all its
+	// attempts. An entry VM makes another attempt only if the last one was
+	// proven not to have run, so a later attempt of the same flow proves that
+	// the earlier ones were not run. It is never 0.
+	Flow    uint64
 	Service Service
 	Branch  Branch
 	Class   Class
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -45,6 +47,7 @@
 func (e *Entry) Serve(ctx context.Context, call Call) Answer {
 	ctx, span := e.tracer.Start(ctx, "entry")
 	defer span.End()
+	call.Request.Flow = 1 + rand.Uint64N(math.MaxUint64)
 	j := &journey{entry: e, call: call}
 	var answer Answer
 	for attempts := 1; ; attempts++ {
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -123,7 +123,7 @@
 		return
 	}
 	r := m.Request
-	if !f.memory.Put(now, witness.Record{ID: r.ID, Range: rangeOf(r), Digest: r.Digest, State: witness.StateSent}) {
+	if !f.memory.Put(now, witness.Record{ID: r.ID, Range: rangeOf(r), Digest: r.Digest, State: witness.StateSent, Flow: r.Flow, Attempt: r.Attempt}) {
 		f.abandon(c, memoryFull)
 		return
 	}
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -72,7 +72,7 @@
 func (f *Front) record(now core.Instant, c *call, m Finished) {
 	r := c.submit.Request
 	key := keyOf(r)
-	rec := witness.Record{ID: r.ID, Range: rangeOf(r), Digest: r.Digest}
+	rec := witness.Record{ID: r.ID, Range: rangeOf(r), Digest: r.Digest, Flow: r.Flow, Attempt: r.Attempt}
 	switch {
 	case m.Outcome == core.OutcomeAnswered:
 		rec.State, rec.Response = witness.StateDone, m.Response
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -143,7 +143,7 @@
 		f.refuse(m, Decision{Outcome: core.OutcomeUnknown, Detail: "an earlier request with this id may have run: its record was lost"})
 		return false
 	}
-	if r := f.memory.Get(keyOf(m.Request)); r != nil {
+	if r := f.recorded(m); r != nil {
 		f.refuse(m, decisionOf(r, m.Request.Digest))
 		return false
 	}
--- a/internal/front/repeat.go
+++ b/internal/front/repeat.go
@@ -36,7 +36,7 @@
 		}
 		return true
 	}
-	if r := f.memory.Get(key); r != nil {
+	if r := f.recorded(m); r != nil {
 		f.answer(m, decisionOf(r, m.Request.Digest))
 		return true
 	}
@@ -44,6 +44,19 @@
 	return false
 }
 
+// recorded returns the record of an earlier request with the same id, or nil.
+// A record of an earlier attempt that was proven not to have run is dropped: a
+// front that gave its target up may have left it at a witness.
+func (f *Front) recorded(m Submit) *witness.Record {
+	key := keyOf(m.Request)
+	r := f.memory.Get(key)
+	if r != nil && r.ProvenNotRun(m.Request) {
+		f.memory.Forget(key)
+		return nil
+	}
+	return r
+}
+
 func decisionOf(r *witness.Record, digest uint64) Decision {
 	switch {
 	case r.Digest != digest:
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -123,6 +123,7 @@
 	return &peerpb.ForwardRequest{
 		RequestId:      string(r.ID),
 		Attempt:        r.Attempt,
+		Flow:           r.Flow,
 		Service:        string(r.Service),
 		Class:          r.Class.String(),
 		Idempotent:     r.Idempotent,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -95,6 +95,7 @@
 		Request: core.Request{
 			ID:         core.RequestID(r.GetRequestId()),
 			Attempt:    r.GetAttempt(),
+			Flow:       r.GetFlow(),
 			Service:    core.Service(r.GetService()),
 			Branch:     core.Branch(r.GetBranch()),
 			Class:      class,
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -91,6 +91,8 @@
 			RequestId: string(r.ID),
 			Range:     rangeToPB(r.Range),
 			Digest:    r.Digest,
+			Flow:      r.Flow,
+			Attempt:   r.Attempt,
 			State:     uint32(r.State),
 			AgeMs:     uint64(max(r.Age.Milliseconds(), 0)),
 		}
@@ -108,11 +110,13 @@
 	out := make([]witness.Record, len(records))
 	for i, r := range records {
 		out[i] = witness.Record{
-			ID:     core.RequestID(r.GetRequestId()),
-			Range:  rangeFromPB(r.GetRange()),
-			Digest: r.GetDigest(),
-			State:  witness.State(r.GetState()),
-			Age:    time.Duration(r.GetAgeMs()) * time.Millisecond,
+			ID:      core.RequestID(r.GetRequestId()),
+			Range:   rangeFromPB(r.GetRange()),
+			Digest:  r.GetDigest(),
+			Flow:    r.GetFlow(),
+			Attempt: r.GetAttempt(),
+			State:   witness.State(r.GetState()),
+			Age:     time.Duration(r.GetAgeMs()) * time.Millisecond,
 		}
 		if r.GetBodyKept() {
 			out[i].Response = &witness.Response{
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -62,6 +62,10 @@
 	Range  core.RangeID
 	Digest uint64
 	State  State
+	// Flow and Attempt are those of the request when it was remembered; Flow is
+	// 0 if records of several flows were merged.
+	Flow    uint64
+	Attempt uint32
 	// Response is nil unless the request is done and its response is kept.
 	Response *Response
 	// Age is how long ago the request was first remembered.
@@ -77,6 +81,13 @@
 // Key returns the key of a record.
 func (r Record) Key() Key { return Key{Service: r.Range.Service, ID: r.ID} }
 
+// ProvenNotRun reports whether a request is a later attempt of the flow that
+// the record was made for: its entry VM has proof that the record's attempt
+// was not run.
+func (r Record) ProvenNotRun(later core.Request) bool {
+	return r.State == StateSent && r.Flow != 0 && r.Flow == later.Flow && r.Attempt < later.Attempt
+}
+
 // Covers reports whether memory of range held contains the requests of range
 // asked. A hot key was part of a numbered range before and may be again, and
 // neither side needs to know the number, so the two kinds match each other.
--- a/internal/witness/store.go
+++ b/internal/witness/store.go
@@ -61,6 +61,10 @@
 		s.strip()
 		return true
 	}
+	if r.Flow != e.Record.Flow {
+		e.Record.Flow = 0
+	}
+	e.Record.Attempt = max(e.Record.Attempt, r.Attempt)
 	if r.State.rank() < e.Record.State.rank() {
 		return true
 	}
