console: forms whose output is the policy document

Cause: a policy could only be changed by appending a record by hand. Change: server-rendered forms for services, targets, routes, limits, branches and deviation bounds that work without scripts; the draft travels in the forms and edits keep comments and order; faults are shown at their fields; document and difference are shown before the submission; races and unknown fates are told, and asking again keeps the record's id. Before listeners close, the kernel drops new handshakes, so that none is reset after it was accepted; a forward that never got a connection counts as not run.

--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -278,3 +278,24 @@
 		}
 	})
 }
+
+// Guards against connections that are reset because they were set up but not
+// accepted when the listener closed.
+func TestQuiesce(t *testing.T) {
+	is := is.New(t)
+	inner, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	m := observe.NewMetrics()
+	l := NewListener(inner, m)
+	early, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer early.Close()
+	l.Quiesce()
+	is.Equal(m.Values()["quiesce_failed"], int64(0))
+	_, err = net.DialTimeout("tcp", inner.Addr().String(), 50*time.Millisecond)
+	is.True(err != nil) // no new connection
+	accepted, err := l.Accept()
+	is.NoErr(err) // the early one is still there
+	is.NoErr(accepted.Close())
+	is.NoErr(l.Close())
+}
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -35,6 +35,18 @@
 	closed  atomic.Bool
 }
 
+// Listen opens a TCP listener that can be quiesced. Multipath TCP, Go's default
+// for listeners, doesn't support the socket filter that this needs.
+func Listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	return l, nil
+}
+
 // NewListener wraps a listener for callers.
 func NewListener(l net.Listener, m *observe.Metrics) *Listener {
 	return NewListenerFor(l, m, func() (string, []byte) {
@@ -57,6 +69,22 @@
 	return &conn{Conn: c, listener: l}, nil
 }
 
+// quiesceTime lets handshakes that have begun end and their connections be
+// accepted; it is many times the latency between failure domains.
+const quiesceTime = 50 * time.Millisecond
+
+// Quiesce stops new connections before the listener closes. Closing alone
+// would reset the connections that the kernel has set up but that have not
+// been accepted, after their callers may have sent a request. Callers that
+// connect meanwhile find the listener closed when they repeat the handshake.
+func (l *Listener) Quiesce() {
+	if err := dropHandshakes(l.Listener); err != nil {
+		l.metrics.Count("quiesce_failed")
+		return
+	}
+	time.Sleep(quiesceTime)
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closed.Store(true)
--- /dev/null
+++ b/internal/accept/quiesce_other.go
@@ -0,0 +1,12 @@
+//go:build !linux
+
+package accept
+
+import (
+	"errors"
+	"net"
+)
+
+func dropHandshakes(net.Listener) error {
+	return errors.New("accept: not supported on this system")
+}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"celeryhook.example/celeryhook/internal/accept"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer"
@@ -30,7 +31,7 @@
 func listen(addresses ...*string) ([]net.Listener, error) {
 	var out []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", *a)
+		l, err := accept.Listen(*a)
 		if err != nil {
 			for _, open := range out {
 				_ = open.Close()
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -69,6 +69,9 @@
 	p.log.Info("entry VM stopping, no longer ready", "vm", p.settings.VM)
 	_ = p.members.Put(ctx, membership.Leave{})
 	p.settle(ctx)
+	for _, l := range s.listeners {
+		l.Quiesce()
+	}
 	p.finish(ctx)
 	p.shutdown(ctx, s.callers, "callers")
 	p.shutdown(ctx, s.peers, "peers")
--- /dev/null
+++ b/internal/console/form.go
@@ -0,0 +1,147 @@
+package console
+
+import (
+	"net/url"
+	"strings"
+
+	"celeryhook.example/celeryhook/internal/policy"
+)
+
+// draft is what the forms carry: a document and the version it is based on.
+type draft struct {
+	Base     uint64
+	Document string
+}
+
+// input is one field of a form.
+type input struct {
+	ID      string
+	Key     string
+	Value   string
+	Hint    string
+	Choices []string
+	Faults  []string
+}
+
+// sectionForm is the form of one section.
+type sectionForm struct {
+	Title  string
+	Hint   string
+	Faults []string
+	Inputs []input
+	Limits []input
+	// Blank are rows for further keys.
+	Blank []input
+	Free  bool
+}
+
+// blankRows is how many keys can be added to a section at a time.
+const blankRows = 3
+
+// faultsOf validates a document.
+func faultsOf(document string) policy.Faults {
+	_, err := policy.Parse([]byte(document))
+	if err == nil {
+		return nil
+	}
+	if faults, ok := err.(policy.Faults); ok {
+		return faults
+	}
+	return policy.Faults{{Section: "document", Reason: err.Error()}}
+}
+
+// formOf builds the form of a section. Submitted, if set, holds the values of
+// a form that could not be applied, with the faults of its fields.
+func formOf(d *document, title string, faults policy.Faults, rejected map[string]string) (sectionForm, bool) {
+	b := d.find(title)
+	if b == nil {
+		return sectionForm{}, false
+	}
+	name, _, _ := strings.Cut(title, " ")
+	k := kinds[name]
+	form := sectionForm{Title: title, Hint: k.Hint, Free: k.free, Faults: faultsAt(faults, title, "")}
+	values := make(map[string]string)
+	order := b.pairs()
+	for _, p := range order {
+		values[p.key] = p.value
+	}
+	known := make(map[string]bool)
+	for _, f := range k.fields {
+		known[f.Key] = true
+		in := newInput(title, f, values[f.Key], faults, rejected)
+		if f.Limit {
+			form.Limits = append(form.Limits, in)
+		} else {
+			form.Inputs = append(form.Inputs, in)
+		}
+	}
+	for _, p := range order {
+		if !known[p.key] {
+			known[p.key] = true
+			form.Inputs = append(form.Inputs, newInput(title, field{Key: p.key}, p.value, faults, rejected))
+		}
+	}
+	for i := range blankRows {
+		form.Blank = append(form.Blank, input{ID: "new" + string(rune('1'+i))})
+	}
+	return form, true
+}
+
+func newInput(title string, f field, value string, faults policy.Faults, rejected map[string]string) input {
+	in := input{ID: "key." + f.Key, Key: f.Key, Value: value, Hint: f.Hint, Faults: faultsAt(faults, title, f.Key)}
+	if reason, ok := rejected[f.Key]; ok {
+		in.Faults = append(in.Faults, reason)
+	}
+	if len(f.Choices) > 0 {
+		in.Choices = f.Choices
+		if !contains(f.Choices, value) {
+			in.Choices = append(append([]string(nil), f.Choices...), value)
+		}
+	}
+	return in
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+func faultsAt(faults policy.Faults, section, key string) []string {
+	var out []string
+	for _, f := range faults {
+		if f.Section == section && f.Key == key {
+			out = append(out, f.Reason)
+		}
+	}
+	return out
+}
+
+// applyForm writes the values of a section's form into the document. The
+// result gives the reason for each key whose value can't be written.
+func applyForm(b *block, values url.Values) map[string]string {
+	rejected := make(map[string]string)
+	put := func(key, value string) {
+		value = strings.TrimSpace(value)
+		if reason := pairFault(key, value); reason != "" {
+			rejected[key] = reason
+			return
+		}
+		if key != "" {
+			b.set(key, value)
+		}
+	}
+	for name, v := range values {
+		if key, ok := strings.CutPrefix(name, "key."); ok {
+			put(key, v[0])
+		}
+	}
+	for i := range blankRows {
+		id := "new" + string(rune('1'+i))
+		put(strings.TrimSpace(values.Get(id+".key")), values.Get(id+".value"))
+	}
+	return rejected
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,8 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -98,21 +99,25 @@
 	carrier := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, carrier)
 	req.TraceParent = carrier.Get("traceparent")
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	reply, err := c.to(address).Forward(ctx, req)
 	if err != nil {
-		return forwardFailed(call, address, err)
+		return forwardFailed(call, address, err, connected.Load())
 	}
 	return answerFromPB(call, reply)
 }
 
-// forwardFailed says what a failed exchange proves. Only a failure to connect
-// or the word of a VM that stops prove that the front did not get the request.
-func forwardFailed(call forward.Call, address string, err error) forward.Answer {
+// forwardFailed says what a failed exchange proves. Only the lack of a
+// connection or the word of a VM that stops prove that the front did not get
+// the request.
+func forwardFailed(call forward.Call, address string, err error, connected bool) forward.Answer {
 	if saysStopping(err) {
 		return forward.Answer{Outcome: core.OutcomeNotRun, Detail: fmt.Sprintf("VM at %s is stopping", address), Target: call.Target}
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !connected {
 		return forward.Answer{Outcome: core.OutcomeNotRun, Detail: fmt.Sprintf("VM at %s: %v", address, err), Target: call.Target}
 	}
 	return forward.Answer{Outcome: core.OutcomeUnknown, Detail: fmt.Sprintf("VM at %s: %v", address, err), Target: call.Target}
