command: console, status, explain, demo and version

Cause: an operator had no way to see a VM's state, where a key goes or a running deployment without building one by hand.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -17,6 +17,14 @@
 	ExitUsage = 2
 )
 
+const help = `celeryhook routes requests to servers that own their keys exclusively.
+
+Start with: celeryhook demo
+Each command explains its options: celeryhook COMMAND --help
+
+Exit codes: 0 done; 1 the command failed, with the reason on stderr; 2 the
+command line is wrong.`
+
 // streams are where a command writes to.
 type streams struct{ out, err io.Writer }
 
@@ -25,7 +33,13 @@
 	s := streams{out: stdout, err: stderr}
 	parser := flags.NewNamedParser("celeryhook", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for servers that own their keys exclusively"
+	parser.LongDescription = help
 	add(parser, "entry", "Run an entry VM", "Runs an entry VM until it gets SIGTERM or SIGINT.", &entryCommand{streams: s})
+	add(parser, "console", "Run the operators' console", "Serves forms for the policy at the address in its settings until it gets SIGTERM or SIGINT.", &consoleCommand{streams: s})
+	add(parser, "status", "Show the state of VMs", "Asks the operators' listener of each VM for /readyz and /status. Exit code 1 if a VM isn't ready or gives no status.", &statusCommand{streams: s})
+	add(parser, "explain", "Show where a key goes", "Shows hash, range, home failure domain, target and front of a key, and why. Exit code 1 if a request for the key would be refused now.", &explainCommand{streams: s})
+	add(parser, "demo", "Run a small deployment", "Runs three failure domains with entry VMs, targets and the platform's stand-in in one process, and says how to use them.", &demoCommand{streams: s})
+	add(parser, "version", "Show the version", "Shows release, revision and toolchain.", &versionCommand{streams: s})
 	add(parser, "standin-platform", "Run the platform's stand-in", "Runs a stand-in of the platform for trials.", &platformCommand{streams: s})
 	add(parser, "standin-target", "Run a target's stand-in", "Runs a stand-in of a target for trials.", &targetCommand{streams: s})
 	_, err := parser.ParseArgs(args)
@@ -36,7 +50,7 @@
 	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
 		fmt.Fprintln(stdout, err)
 		return ExitOK
-	case errors.As(err, &flagError):
+	case errors.As(err, &flagError) || isUsage(err):
 		fmt.Fprintln(stderr, "celeryhook:", err)
 		return ExitUsage
 	}
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -18,6 +18,9 @@
 	Booking, Lookup string
 	// BookingBody is an example of a booking.
 	BookingBody string
+	// LookupService and LookupKey are those of the lookup.
+	LookupService core.Service
+	LookupKey     string
 }
 
 // ServicePlan is one service and its targets.
@@ -80,6 +83,7 @@
 class = lookup
 `,
 		Booking: "/rozvrh/2026-12-05T10:00/rezervacia", Lookup: "/rozvrh/2026-12-05T10:00", BookingBody: `{"guests":2}`,
+		LookupService: "rozvrh", LookupKey: "2026-12-05T10:00",
 	},
 	"great-lakes": {
 		Name:           "great-lakes",
@@ -131,6 +135,7 @@
 missing_id = refuse
 `,
 		Booking: "/classes/strip-canoe-2026/bookings", Lookup: "/classes/strip-canoe-2026", BookingBody: `{"seats":1}`,
+		LookupService: "class-board", LookupKey: "strip-canoe-2026",
 	},
 }
 
