demo: say why a deployment isn't ready

Cause: one start in 35 was not ready within 20 s on a loaded machine, and the error did not say what was missing. Change: the error holds the last answer of the VM.

--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -167,28 +168,50 @@
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
 	for _, v := range d.VMs {
-		for !d.answers(ctx, "http://"+v.OperatorsAddress+"/readyz") || !d.answers(ctx, "http://"+v.CallersAddress+d.Plan.Lookup) {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("demo: VM %s isn't ready: %w", v.VM, ctx.Err())
-			case <-time.After(50 * time.Millisecond):
+		for _, url := range []string{"http://" + v.OperatorsAddress + "/readyz", "http://" + v.CallersAddress + d.Plan.Lookup} {
+			if err := d.waitFor(ctx, url); err != nil {
+				return fmt.Errorf("demo: VM %s isn't ready: %w", v.VM, err)
 			}
 		}
 	}
 	return nil
 }
 
-func (d *Deployment) answers(ctx context.Context, url string) bool {
+// waitFor repeats a request until it is answered with status 200. The error is
+// the last reason why it was not.
+func (d *Deployment) waitFor(ctx context.Context, url string) error {
+	var last error
+	for {
+		err := d.get(ctx, url)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() == nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (d *Deployment) get(ctx context.Context, url string) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return fmt.Errorf("%s: %w", url, err)
 	}
 	res, err := d.client.Do(r)
 	if err != nil {
-		return false
+		return fmt.Errorf("%s: %w", url, err)
 	}
-	_ = res.Body.Close()
-	return res.StatusCode == http.StatusOK
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(io.LimitReader(res.Body, 1000))
+		return fmt.Errorf("%s: status %d: %s", url, res.StatusCode, reason)
+	}
+	return nil
 }
 
 // Stop ends all VMs at the same time, then the stand-ins.
