app: keep every step of a stop within its timeout

Cause: the waits for handshakes and for idle connections did not end with the stop's timeout. TestStopIsBounded failed in 1 of 30 runs under three parallel race builds: it told a cut from a wait by 1.1 s only. Change: both waits end with the timeout. The test is replaced by one in which the request would last 30 s, so that waiting for it can't be taken for a cut; it fails as before if a stop waits for the request. The plans' test gives each target its own address, as the policy branch rejects repeated ones.

--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -290,7 +290,7 @@
 	early, err := net.Dial("tcp", inner.Addr().String())
 	is.NoErr(err)
 	defer early.Close()
-	l.Quiesce()
+	l.Quiesce(context.Background())
 	is.Equal(m.Values()["quiesce_failed"], int64(0))
 	_, err = net.DialTimeout("tcp", inner.Addr().String(), 50*time.Millisecond)
 	is.True(err != nil) // no new connection
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -77,12 +77,12 @@
 // would reset the connections that the kernel has set up but that have not
 // been accepted, after their callers may have sent a request. Callers that
 // connect meanwhile find the listener closed when they repeat the handshake.
-func (l *Listener) Quiesce() {
+func (l *Listener) Quiesce(ctx context.Context) {
 	if err := dropHandshakes(l.Listener); err != nil {
 		l.metrics.Count("quiesce_failed")
 		return
 	}
-	time.Sleep(quiesceTime)
+	pause(ctx, quiesceTime)
 }
 
 // Close implements net.Listener.
@@ -92,7 +92,13 @@
 }
 
 // Linger waits until no connection is read any more after Shutdown.
-func Linger() { time.Sleep(linger) }
+func Linger(ctx context.Context) { pause(ctx, linger) }
+
+func pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
 
 // Bind lets the server tell connections of this listener in which state they
 // are.
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -70,12 +70,12 @@
 	_ = p.members.Put(ctx, membership.Leave{})
 	p.settle(ctx)
 	for _, l := range s.listeners {
-		l.Quiesce()
+		l.Quiesce(ctx)
 	}
 	p.finish(ctx)
 	p.shutdown(ctx, s.callers, "callers")
 	p.shutdown(ctx, s.peers, "peers")
-	accept.Linger()
+	accept.Linger(ctx)
 	p.shutdown(ctx, s.operators, "operators")
 	p.stopDuties()
 	p.log.Info("entry VM stopped", "vm", p.settings.VM)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -26,7 +27,7 @@
 		is := is.New(t)
 		targets := Plans[name].targets()
 		for i := range targets {
-			targets[i].address = "127.0.0.1:1"
+			targets[i].address = fmt.Sprintf("127.0.0.1:%d", 9000+i)
 		}
 		p, err := policy.Parse([]byte(Plans[name].document(targets)))
 		is.NoErr(err)
@@ -162,16 +163,21 @@
 	is.True(errors.Is(err, syscall.ECONNREFUSED))
 }
 
-// Guards against a stop that waits for a request longer than the settings say.
+// Guards against a stop that waits for a request longer than the settings say:
+// here for a body that never arrives, up to the read timeout of 30 s.
 func TestStopIsBounded(t *testing.T) {
 	is := is.New(t)
 	o := DefaultOptions(logr.Discard())
-	o.VMsPerDomain, o.ServiceTime, o.StopTimeout, o.StopSettle = 1, 400*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond
+	o.VMsPerDomain, o.StopTimeout, o.StopSettle = 1, 200*time.Millisecond, 50*time.Millisecond
 	d := startTest(t, "bratislava", o)
-	go func() { _, _ = post(http.DefaultClient, "http://"+d.VMs[0].CallersAddress+d.Plan.Booking, "x") }()
+	c, err := net.Dial("tcp", d.VMs[0].CallersAddress)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n", d.Plan.Booking)
+	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
 	began := time.Now()
-	_ = d.VMs[0].Stop(context.Background())
-	// The linger and the I/O under way (at most the RPC timeout) come on top.
-	is.True(time.Since(began) < 1500*time.Millisecond)
+	is.NoErr(d.VMs[0].Stop(context.Background()))
+	t.Logf("the stop took %v", time.Since(began))
+	is.True(time.Since(began) < 10*time.Second)
 }
