--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -95,7 +95,7 @@
 	for i, t := range targets {
 		s := target.NewServer(target.Options{
 			ID: t.id, Slots: t.service.Slots, Checks: true, Incarnation: uint64(i + 1),
-		}, o.ServiceTime)
+		}, o.ServiceTime, nil)
 		if targets[i].address, err = d.serve(running, s, s.Run); err != nil {
 			return err
 		}
