--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -161,28 +161,40 @@
 }
 
 // readyWait bounds how long a deployment may take to be ready.
-const readyWait = 20 * time.Second
+const readyWait = 30 * time.Second
 
-// waitReady waits until every VM is ready and answers a lookup.
+// bookingProbes is how many bookings with different keys are tried before the
+// deployment counts as ready.
+const bookingProbes = 64
+
+// waitReady waits until every VM is ready and answers a lookup, then until
+// bookings run. The fronts of a deployment whose VMs are all new don't know
+// which requests ran before, so for 5 s they answer bookings unknown.
 func (d *Deployment) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
 	for _, v := range d.VMs {
 		for _, url := range []string{"http://" + v.OperatorsAddress + "/readyz", "http://" + v.CallersAddress + d.Plan.Lookup} {
-			if err := d.waitFor(ctx, url); err != nil {
+			if err := d.waitFor(ctx, http.MethodGet, url); err != nil {
 				return fmt.Errorf("demo: VM %s isn't ready: %w", v.VM, err)
 			}
 		}
 	}
+	for i := range bookingProbes {
+		v := d.VMs[i%len(d.VMs)]
+		if err := d.waitFor(ctx, http.MethodPost, "http://"+v.CallersAddress+d.Plan.BookingOf(fmt.Sprintf("probe-%d", i))); err != nil {
+			return fmt.Errorf("demo: VM %s doesn't take bookings: %w", v.VM, err)
+		}
+	}
 	return nil
 }
 
 // waitFor repeats a request until it is answered with status 200. The error is
 // the last reason why it was not.
-func (d *Deployment) waitFor(ctx context.Context, url string) error {
+func (d *Deployment) waitFor(ctx context.Context, method, url string) error {
 	var last error
 	for {
-		err := d.get(ctx, url)
+		err := d.try(ctx, method, url)
 		if err == nil {
 			return nil
 		}
@@ -197,8 +209,8 @@
 	}
 }
 
-func (d *Deployment) get(ctx context.Context, url string) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func (d *Deployment) try(ctx context.Context, method, url string) error {
+	r, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return fmt.Errorf("%s: %w", url, err)
 	}
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -139,6 +139,9 @@
 	},
 }
 
+// BookingOf returns the path of a booking of a key.
+func (p Plan) BookingOf(key string) string { return strings.Replace(p.Booking, p.LookupKey, key, 1) }
+
 // Names returns the names of the plans, sorted.
 func Names() []string {
 	var out []string
