--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -78,6 +78,7 @@
 	avoid           map[core.VM]core.Instant
 	draining        bool
 	load            core.TargetLoad
+	loadAt          core.Instant
 }
 
 // issue is the part of an assignment that a token stands for.
@@ -104,6 +105,10 @@
 	// memoryAt are the VMs that hold its request ids from before its last move.
 	memoryAt []core.VM
 	movedAt  core.Instant
+	// created is the first map with this hot key, coolSince since when it is
+	// not hot any more; both are of use for hot keys only.
+	created   core.Token
+	coolSince core.Instant
 }
 
 type reportMark struct {
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -31,6 +31,9 @@
 		if now.Sub(r.movedAt) > remember {
 			r.memoryAt = nil
 		}
+		if r.created.IsZero() {
+			r.created = h.version
+		}
 		next.Ranges[id] = h.assignment(id, r, issues)
 	}
 	for id, x := range h.targets {
--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/platformlog"
 )
 
@@ -46,11 +47,13 @@
 //	policy ranges=12 candidates=2 isolation=keep move_after=10s
 //	vm ID DOMAIN ... | target ID DOMAIN ... | start | run DURATION
 //	kill|freeze|thaw|return ID ... | cut|heal ID ID | rate ID FACTOR
-//	log up|down|slow DURATION | lose SHARE
+//	log up|down|slow DURATION | lose SHARE | leavevm VM
+//	demand KEYHASH REQUESTS_PER_SECOND (a target can run 100)
 //	leave TARGET | stay TARGET | drain TARGET | domain NAME in|out|lost
 //	expect served [within DURATION] | expect unserved [N]
 //	expect holder DOMAIN ID | expect moves MOST | expect owners DOMAIN N
-//	expect targetranges TARGET N
+//	expect targetranges TARGET N | expect fronts VM N | expect busiest MOST
+//	expect hotkeys N
 //
 // ID may be holder:DOMAIN, front:TARGET or log. A # begins a comment.
 func (w *world) command(line string) error {
@@ -83,6 +86,12 @@
 		err = w.setRate(f[1], f[2])
 	case "log":
 		err = w.setLog(f[1:])
+	case "demand":
+		hash, _ := strconv.ParseUint(f[1], 10, 64)
+		w.demand[hash], err = strconv.ParseFloat(f[2], 64)
+	case "leavevm":
+		v := w.vms[core.VM(w.resolve(f[1]))]
+		v.do(func() { v.stepMembers(membership.Leave{}) })
 	case "lose":
 		w.lose, err = strconv.ParseFloat(f[1], 64)
 	case "leave", "stay":
@@ -259,6 +268,18 @@
 			return fmt.Errorf("%d ranges moved", w.moves)
 		}
 		w.moves = 0
+	case "fronts":
+		n := 0
+		for _, t := range w.targets {
+			if t.held() && t.front == core.VM(f[1]) {
+				n++
+			}
+		}
+		if f[2] != strconv.Itoa(n) {
+			return fmt.Errorf("%s fronts %d targets", f[1], n)
+		}
+	case "busiest", "hotkeys":
+		return w.expectLoad(f)
 	case "targetranges":
 		if t := w.targets[core.Target(f[1])]; f[2] != strconv.Itoa(len(t.ranges)) {
 			return fmt.Errorf("%s holds %d ranges", t.id, len(t.ranges))
@@ -292,6 +313,38 @@
 	return nil
 }
 
+// expectLoad checks the load of the busiest target or the number of hot keys.
+func (w *world) expectLoad(f []string) error {
+	hot := make(map[uint64]core.Target)
+	for id, t := range w.targets {
+		for _, r := range t.ranges {
+			if t.held() && r.HotKey != 0 {
+				hot[r.HotKey] = id
+			}
+		}
+	}
+	if f[0] == "hotkeys" {
+		if f[1] != strconv.Itoa(len(hot)) {
+			return fmt.Errorf("%d hot keys", len(hot))
+		}
+		return nil
+	}
+	most, _ := strconv.ParseFloat(f[1], 64)
+	for id, t := range w.targets {
+		var sum float64
+		for hash, rate := range w.demand {
+			at, ok := hot[hash]
+			if ok && at == id || !ok && slices.Contains(t.ranges, core.RangeOf("s", hash, uint32(w.document.ranges))) {
+				sum += rate
+			}
+		}
+		if sum > most {
+			return fmt.Errorf("%s has %.0f requests a second", id, sum)
+		}
+	}
+	return nil
+}
+
 // noteHolders adds what holders and targets know to the trace.
 func (w *world) noteHolders() {
 	for _, id := range sortedKeys(w.vms) {
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -130,7 +130,7 @@
 func (c *Coordinator) takeTarget(now core.Instant, x *targetState, vm core.VM, t grant.TargetReport) {
 	h := c.holder
 	if t.Load != nil && vm == x.front {
-		x.load = *t.Load
+		x.load, x.loadAt = *t.Load, now
 	}
 	if t.State == grant.StateSuperseded {
 		c.supersede(now, t.Superseded)
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -31,6 +31,7 @@
 	policy      *policy.Policy
 	maps        map[core.FailureDomain]*core.RangeMap
 	views       map[core.Target]grant.View
+	measuredAt  core.Instant
 }
 
 func (v *simVM) clock() core.Instant { return core.Instant(float64(v.w.now)*v.rate) + 1e9 }
@@ -86,6 +87,10 @@
 		if v.frozen {
 			return
 		}
+		if len(v.w.demand) > 0 && v.w.now.Sub(v.measuredAt) >= time.Second {
+			v.measuredAt = v.w.now
+			v.measure()
+		}
 		v.stepMembers(membership.Tick{})
 		v.stepReader(platformlog.Tick{})
 		v.stepCoordinator(Tick{})
@@ -170,6 +175,31 @@
 	v.stepMembers(membership.Versions{LogOffset: v.folded.Offset, Maps: versions})
 }
 
+// measure hands the keeper the loads of the VM's targets, each of which can run
+// 100 requests a second.
+func (v *simVM) measure() {
+	m := v.maps[v.domain]
+	for id, view := range v.views {
+		if m == nil || m.Targets[id].Front != v.id {
+			continue
+		}
+		load := core.TargetLoad{Target: id, Ranges: make(map[core.RangeID]float64)}
+		for hash, rate := range v.w.demand {
+			r := core.RangeID{Service: "s", HotKey: hash}
+			if _, ok := m.Ranges[r]; !ok {
+				r = core.RangeOf("s", hash, uint32(v.w.document.ranges))
+			}
+			if slices.Contains(view.Ranges, r) {
+				load.RequestsPerSecond += rate
+				load.Ranges[r] += rate
+				load.HotKeys = append(load.HotKeys, core.KeyLoad{Service: "s", KeyHash: hash, RequestsPerSecond: rate})
+			}
+		}
+		load.Utilisation = load.RequestsPerSecond / 100
+		v.stepKeeper(grant.Measured{Load: load})
+	}
+}
+
 // assign hands the keeper its part of the map.
 func (v *simVM) assign() {
 	m := v.maps[v.domain]
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -31,6 +31,8 @@
 	faults   []string
 	trace    []string
 	moves    int
+	// demand is the requests a second for keys, by hash.
+	demand map[uint64]float64
 	// lose is the share of answers that are lost.
 	lose float64
 }
@@ -60,7 +62,7 @@
 	return &world{
 		rand: rand.New(rand.NewPCG(seed, 1)), tick: 25 * time.Millisecond,
 		vms: make(map[core.VM]*simVM), targets: make(map[core.Target]*simTarget),
-		cuts: make(map[[2]string]bool), parsed: make(map[string]*policy.Policy),
+		cuts: make(map[[2]string]bool), demand: make(map[uint64]float64), parsed: make(map[string]*policy.Policy),
 		document: policyText{ranges: 12, candidates: 2, isolation: "keep", moveAfter: "10s"},
 	}
 }
