coordinate: promises between failure domains, request ids across them

A failure domain goes on with services of isolation = yield during an outage while the holders of all others promise to follow no lost record for it. Ranges that come from another domain name the VMs that hold their request ids. The move right now also waits for settle after the predecessor has lost the keep right, which may be later than the successor got its own by the log.

--- a/internal/coordinate/assign.go
+++ b/internal/coordinate/assign.go
@@ -124,6 +124,9 @@
 			continue
 		}
 		if to := d.pick(id, ""); to != "" {
+			if !r.held && len(r.memoryAt) == 0 {
+				r.memoryAt, r.movedAt = c.recall(now, id, c.policy.Control.Remember), now
+			}
 			r.target, r.assumed, r.moving, r.held = to, "", false, true
 			h.dirty = true
 		}
--- a/internal/coordinate/authority.go
+++ b/internal/coordinate/authority.go
@@ -53,6 +53,8 @@
 
 	holding   bool
 	heldSince core.Instant
+	// closedSince is when the term in force was first found closed, 0 before.
+	closedSince core.Instant
 	// interrupted is set once the keep right was lost: another VM may have
 	// acted since.
 	interrupted bool
@@ -86,9 +88,17 @@
 	a.term, a.known, a.learned = t, true, now
 	a.heard = now
 	a.superseded, a.collecting, a.acting = false, false, false
+	a.closedSince = 0
 	clear(a.knows)
 }
 
+// observe notes when the predecessor was first known to have lost its rights.
+func (a *authority) observe(now core.Instant) {
+	if a.closedSince == 0 && a.known && a.closed(now) {
+		a.closedSince = now
+	}
+}
+
 func (a *authority) isCoordinator() bool { return a.known && a.term.Coordinator == a.self }
 
 // rank is the position among the term's candidates from 1, or 0.
@@ -260,7 +270,10 @@
 	if !first && now.Before(a.heldSince.Add(settle)) {
 		return false
 	}
-	if a.isCoordinator() && a.takesOver() && (!a.closed(now) || !a.logAged(now)) {
+	// The keep right may have come by the log alone, while the predecessor still
+	// had its own by a promise.
+	if a.isCoordinator() && a.takesOver() &&
+		(a.closedSince == 0 || now.Before(a.closedSince.Add(settle)) || !a.logAged(now)) {
 		return false
 	}
 	for _, set := range a.sets(now) {
--- a/internal/coordinate/coordinator.go
+++ b/internal/coordinate/coordinator.go
@@ -28,14 +28,23 @@
 	// homed are the ranges whose home is this failure domain.
 	homed map[core.RangeID]bool
 	// seq is the sequence of the last token given out.
-	seq    uint64
+	seq     uint64
+	domains domainPromises
+	// foreign are the newest maps of other failure domains, memories the VMs
+	// that hold request ids of their ranges.
+	foreign  map[core.FailureDomain]*core.RangeMap
+	memories map[core.RangeID]memory
+
 	holder *holder
 	out    []Output
 }
 
 // New returns the coordinator of a VM; it acts only while a term names the VM.
 func New(vm core.VM, domain core.FailureDomain, incarnation uint64) *Coordinator {
-	return &Coordinator{vm: vm, domain: domain, incarnation: incarnation, authority: newAuthority(vm)}
+	return &Coordinator{
+		vm: vm, domain: domain, incarnation: incarnation, authority: newAuthority(vm),
+		foreign: make(map[core.FailureDomain]*core.RangeMap), memories: make(map[core.RangeID]memory),
+	}
 }
 
 // Step implements duty.Step.
@@ -78,14 +87,20 @@
 			c.holder.viewChanged(now, m.View)
 		}
 	case MapHeard:
-		if m.Map.FailureDomain == c.domain && (c.current == nil || c.current.Version.Less(m.Map.Version)) {
+		if m.Map.FailureDomain != c.domain {
+			c.rememberForeign(now, m.Map)
+		} else if c.current == nil || c.current.Version.Less(m.Map.Version) {
 			c.current = m.Map
 			c.supersede(now, m.Map.Version)
 		}
 	case PromiseAsked:
 		c.emit(GivePromise{To: m.Reply, Answer: c.answerAsk(now, m.Ask)})
 	case PromiseAnswered:
-		c.authority.receive(m)
+		if c.view.Members[m.From].FailureDomain == c.domain {
+			c.authority.receive(m)
+		} else {
+			c.receiveDomain(m)
+		}
 	case Inspected:
 		c.takeInspected(now, m)
 	case AppendDone:
@@ -127,6 +142,7 @@
 // checkRole begins or ends holding as the keep right comes and goes.
 func (c *Coordinator) checkRole(now core.Instant) {
 	a := &c.authority
+	a.observe(now)
 	keep := c.policy != nil && a.keep(now)
 	role := a.role()
 	switch {
@@ -162,7 +178,11 @@
 // that this VM knows gets none: it could act on ranges that were released.
 func (c *Coordinator) answerAsk(now core.Instant, ask Ask) Answer {
 	answer := Answer{Term: c.authority.term.Number}
-	if ask.FailureDomain == c.domain && ask.Offset >= c.folded.Delegation.Number {
+	switch {
+	case c.policy == nil:
+	case ask.FailureDomain != c.domain:
+		answer.Granted = c.giveDomain(now, ask)
+	case ask.Offset >= c.folded.Delegation.Number:
 		answer = c.authority.give(now, ask)
 	}
 	answer.Offset = c.folded.Offset
--- a/internal/coordinate/domains.go
+++ b/internal/coordinate/domains.go
@@ -5,18 +5,12 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
-	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/platformlog"
 )
 
 // releaseRetry is the pause before a released record is repeated.
 const releaseRetry = time.Second
 
-// lostWait is how long after a failure domain was declared lost its targets'
-// grants may last: it notices by the log or loses the log lease, its fronts
-// lose the holder's word, and their last grants end.
-var lostWait = core.Lengthen(core.LogLease + grant.HolderLease + core.GrantLease)
-
 // release is the progress of giving up ranges for a delegation.
 type release struct {
 	record platformlog.Record
@@ -51,7 +45,7 @@
 		switch {
 		case other == c.domain:
 		case c.folded.DomainState(other) == platformlog.DomainLost:
-			if now.Before(c.delegatedAt.Add(lostWait)) {
+			if now.Before(c.lostEnds(other)) {
 				return false
 			}
 		case !d.Released[other]:
@@ -106,8 +100,3 @@
 	}
 	return true
 }
-
-// domainAuthority reports the right to serve ranges with isolation = yield.
-func (c *Coordinator) domainAuthority(now core.Instant) bool {
-	return c.authority.fresh(now)
-}
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -200,6 +200,7 @@
 // hold decides what is due. It runs only with the keep right.
 func (c *Coordinator) hold(now core.Instant) {
 	h := c.holder
+	c.askDomains(now)
 	c.inspect(now)
 	if !h.ready {
 		h.ready = now.Sub(h.began) >= inspectWait || h.allFenced()
