--- a/internal/coordinate/assign.go
+++ b/internal/coordinate/assign.go
@@ -125,7 +125,11 @@
 		}
 		if to := d.pick(id, ""); to != "" {
 			r.firstFor = 0
-			if !r.held && id.HotKey == 0 && c.neverServed() {
+			if !r.held && len(r.memoryAt) == 0 {
+				r.memoryAt, r.memorySince = c.recall(now, id, c.policy.Control.Remember)
+				r.movedAt = now
+			}
+			if !r.held && len(r.memoryAt) == 0 && id.HotKey == 0 && c.neverServed() {
 				r.firstFor = c.view.Members[h.targets[to].front].Incarnation
 			}
 			r.target, r.assumed, r.moving, r.held = to, "", false, true
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -81,6 +81,7 @@
 	avoid           map[core.VM]core.Instant
 	draining        bool
 	load            core.TargetLoad
+	loadAt          core.Instant
 }
 
 // issue is the part of an assignment that a token stands for.
@@ -113,6 +114,10 @@
 	// firstFor is the front's incarnation that serves the range as the first ever.
 	firstFor uint64
 	movedAt  core.Instant
+	// created is the first map with this hot key, coolSince since when it is
+	// not hot any more; both are of use for hot keys only.
+	created   core.Token
+	coolSince core.Instant
 }
 
 type reportMark struct {
@@ -204,6 +209,7 @@
 // hold decides what is due. It runs only with the keep right.
 func (c *Coordinator) hold(now core.Instant) {
 	h := c.holder
+	c.askDomains(now)
 	c.inspect(now)
 	if !h.ready {
 		h.ready = now.Sub(h.began) >= inspectWait || h.allFenced()
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -31,6 +31,9 @@
 		if now.Sub(r.movedAt) > remember {
 			r.memoryAt, r.memorySince = nil, core.Token{}
 		}
+		if r.created.IsZero() {
+			r.created = h.version
+		}
 		next.Ranges[id] = h.assignment(id, r, issues)
 	}
 	for id, x := range h.targets {
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -109,15 +109,16 @@
 }
 
 // assignRange decides whether the memory of a range must be recalled. It must
-// not if this front had a part in the range since the token that the map names,
-// or, for a map without such a token, if the map names no VM that was not asked.
+// not if the map names this VM and it had a part in the range since the map's
+// token, or, for a map without such a token, if the map names no VM that was not
+// asked. A token of another failure domain can't be compared with this front's.
 func (f *Front) assignRange(id core.RangeID, next *custody) {
 	c := f.custody[id]
 	switch {
 	case c == nil:
 	case c.since == next.since && c.left == 0 && c.knows(next.sources):
 		return
-	case c.ready && !next.since.IsZero() && !c.token.Less(next.since):
+	case c.ready && !next.since.IsZero() && !c.token.Less(next.since) && c.has(f.vm, next.sources):
 		c.left, c.since, c.sources = 0, next.since, next.sources
 		return
 	case c.ready && c.left == 0 && next.since.IsZero() && c.has(f.vm, next.sources):
