--- a/internal/coordinate/assign.go
+++ b/internal/coordinate/assign.go
@@ -95,8 +95,9 @@
 	return float64(d.counts[x.id]) / max(d.share[x.id], 1e-9)
 }
 
-// assignFree gives ranges that no target holds to targets. Each target that
-// might hold them must have taken this holder's token.
+// assignFree gives ranges that no target holds to targets. If this holder has
+// not known where a range was, each target that might hold it must have taken
+// this holder's token.
 func (c *Coordinator) assignFree(now core.Instant) {
 	h := c.holder
 	free := h.sortedRanges(func(r *rangeState) bool { return r.target == "" })
@@ -113,14 +114,12 @@
 		}
 		d := divisions[id.Service]
 		if d == nil {
-			d = new(division)
-			if c.accounted(id.Service) {
-				*d = c.divide(id.Service)
-			}
+			division := c.divide(id.Service)
+			d = &division
 			divisions[id.Service] = d
 		}
 		r := h.ranges[id]
-		if !r.held && !gainable {
+		if !r.held && !(gainable && c.accounted(id.Service)) {
 			continue
 		}
 		if to := d.pick(id, ""); to != "" {
