--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -49,11 +49,14 @@
 	// that no earlier holder gave it ranges.
 	added bool
 
-	front       core.VM
-	witnesses   []core.VM
-	previous    []core.VM
-	previousAt  core.Instant
-	incarnation uint64
+	front      core.VM
+	witnesses  []core.VM
+	previous   []core.VM
+	previousAt core.Instant
+	// previousSince is the least token of a complete memory of request ids from
+	// before the last change of front.
+	previousSince core.Token
+	incarnation   uint64
 	// token is that of the assignment published last, issued what it gave.
 	token  core.Token
 	issued issue
@@ -103,6 +106,12 @@
 	to core.Target
 	// memoryAt are the VMs that hold its request ids from before its last move.
 	memoryAt []core.VM
+	// memorySince is the least token of a complete memory at memoryAt.
+	memorySince core.Token
+	// served is the token of the last assignment under which it was served.
+	served core.Token
+	// firstFor is the front's incarnation that serves the range as the first ever.
+	firstFor uint64
 	movedAt  core.Instant
 }
 
@@ -131,7 +140,7 @@
 	for id, x := range h.targets {
 		a := c.current.Targets[id]
 		x.front, x.token = a.Front, a.Token
-		x.witnesses, x.previous, x.previousAt = a.Witnesses, a.Previous, now
+		x.witnesses, x.previous, x.previousAt, x.previousSince = a.Witnesses, a.Previous, now, a.PreviousSince
 	}
 	for id, a := range c.current.Ranges {
 		r := h.ranges[id]
@@ -139,7 +148,7 @@
 			r = &rangeState{}
 			h.ranges[id] = r
 		}
-		r.assumed, r.memoryAt, r.movedAt = a.Target, a.MemoryAt, now
+		r.assumed, r.memoryAt, r.memorySince, r.movedAt = a.Target, a.MemoryAt, a.MemorySince, now
 	}
 	return h
 }
@@ -169,7 +178,6 @@
 			h.ranges[id] = &rangeState{}
 		}
 	}
-	c.releaseAway()
 }
 
 // viewChanged notes VMs that were replaced: what they may extend has an end.
@@ -206,6 +214,7 @@
 	}
 	c.chooseFronts(now)
 	c.endLost(now)
+	c.releaseAway()
 	c.finishMoves(now)
 	c.assignFree(now)
 	c.leaveTargets(now)
