--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,12 +8,15 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"celeryhook.example/celeryhook/internal/coordinate"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/forward"
+	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 // Handlers are the parts of the process that the server passes messages to.
@@ -25,6 +28,14 @@
 	// Newer returns what this VM holds that is newer than the versions given,
 	// with the folded state as JSON.
 	Newer func(context.Context, uint64, map[core.FailureDomain]core.Token) ([]byte, []*core.RangeMap, error)
+	// Remember stores request ids of another VM's front.
+	Remember func(context.Context, witness.Batch) (witness.Stored, error)
+	// Recall returns what this VM remembers of a target and ranges.
+	Recall func(context.Context, core.Target, []core.RangeID) (witness.Memory, error)
+	// Asked decides on a promise.
+	Asked func(context.Context, coordinate.Ask) (coordinate.Answer, error)
+	// Reported takes a report of a VM's fronts.
+	Reported func(context.Context, grant.Report) (grant.ReportAnswer, error)
 }
 
 // Server answers other VMs.
@@ -119,27 +130,3 @@
 		Target:       string(a.Target),
 	}
 }
-
-func unimplemented(method string) error {
-	return twirp.NewError(twirp.Unimplemented, method+" is not served by this version")
-}
-
-// Promise implements peerpb.Peer.
-func (s *Server) Promise(context.Context, *peerpb.PromiseRequest) (*peerpb.PromiseReply, error) {
-	return nil, unimplemented("Promise")
-}
-
-// Report implements peerpb.Peer.
-func (s *Server) Report(context.Context, *peerpb.FrontReport) (*peerpb.ReportReply, error) {
-	return nil, unimplemented("Report")
-}
-
-// Remember implements peerpb.Peer.
-func (s *Server) Remember(context.Context, *peerpb.RememberRequest) (*peerpb.RememberReply, error) {
-	return nil, unimplemented("Remember")
-}
-
-// Recall implements peerpb.Peer.
-func (s *Server) Recall(context.Context, *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
-	return nil, unimplemented("Recall")
-}
