--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,7 +15,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"celeryhook.example/celeryhook/internal/core"
-	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/standin/target"
 )
 
@@ -54,7 +55,7 @@
 		"pause":     {1, commandPause},
 		"http":      {4, commandHTTP},
 		"domain": {2, func(w *world, _ *testscript.TestScript, args []string) (string, error) {
-			return "", w.setDomain(args[0], platformlog.DomainState(args[1]))
+			return "", w.operate("domain", args[1], args[0], "--confirm")
 		}},
 		"candidates": {2, commandCandidates},
 		"quiet": {1, func(w *world, _ *testscript.TestScript, args []string) (string, error) {
@@ -110,7 +111,7 @@
 }
 
 func commandSubmit(w *world, ts *testscript.TestScript, args []string) (string, error) {
-	var documents []string
+	var files []string
 	extra := make(map[string]string)
 	for _, arg := range args {
 		if id, line, ok := strings.Cut(arg, "."); ok && strings.Contains(line, "=") {
@@ -119,10 +120,23 @@
 	}
 	for _, arg := range args {
 		if !strings.Contains(arg, "=") {
-			documents = append(documents, w.policy(ts.ReadFile(arg), extra))
+			file := filepath.Join(w.dir, "settings", filepath.Base(arg)+".full")
+			files = append(files, file)
+			if err := os.WriteFile(file, []byte(w.policy(ts.ReadFile(arg), extra)), 0o644); err != nil {
+				return "", err
+			}
 		}
 	}
-	return "", w.submit(documents...)
+	if len(files) == 1 {
+		return "", w.operate("policy", "submit", files[0])
+	}
+	won, err := w.race(files)
+	if err != nil {
+		return "", err
+	}
+	ts.Setenv("WON", args[won])
+	ts.Setenv("LOST", args[1-won])
+	return args[won] + " won", nil
 }
 
 func commandWho(w *world, ts *testscript.TestScript, args []string) (string, error) {
@@ -286,7 +300,10 @@
 		return "", fmt.Errorf("send needs one request and the outcomes that are wanted")
 	}
 	r := o.requests[0]
-	r.id, r.body = core.RequestID(o.id), o.body
+	if o.id != "" && w.ids[o.id] == "" {
+		w.ids[o.id] = newID()
+	}
+	r.id, r.body = w.ids[o.id], o.body
 	a := w.do(vm, w.fill(r, "k0"))
 	printed := fmt.Sprintf("%s: %s %s", a.request.id, a.outcome, a.detail)
 	if !slices.Contains(o.want, a.outcome) {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,8 +11,8 @@
 //	platform [FLAG...]                 start the platform's stand-in
 //	target ID SERVICE DOMAIN [FLAG...] start a target; it becomes part of later policies
 //	vm ID DOMAIN [FILE]                start an entry VM; FILE adds settings
-//	submit FILE... [ID.KEY=VALUE...]   submit a policy, to which all targets are added; of several
-//	                                   with the same base the first must win
+//	submit FILE... [ID.KEY=VALUE...]   submit a policy, to which all targets are added; of two that
+//	                                   race, set WON and LOST to the file names
 //	domain NAME in|out|lost            change the state of a failure domain
 //	candidates DOMAIN N                wait until the term in force has N candidates
 //	sigkill, sigstop, sigcont, sigterm, restart ID...
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"celeryhook.example/celeryhook/internal/accept"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/standin/target"
@@ -58,10 +60,7 @@
 func (w *world) fill(r request, key string) request {
 	r.path = strings.ReplaceAll(r.path, "{k}", key)
 	if r.id == "" {
-		w.mu.Lock()
-		w.sent++
-		r.id = core.RequestID("r" + strconv.Itoa(w.sent))
-		w.mu.Unlock()
+		r.id = newID()
 	}
 	if r.body == "" && !r.idempotent() {
 		r.body = "body of " + string(r.id)
@@ -69,6 +68,10 @@
 	return r
 }
 
+// newID returns a UUIDv7: others are unknown to a front for ten minutes after
+// a start without memory.
+func newID() core.RequestID { return core.RequestID(uuid.Must(uuid.NewV7()).String()) }
+
 // do sends a request through a VM and records the answer.
 func (w *world) do(vm *process, r request) answer {
 	a := w.exchange(vm, r)
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -5,19 +5,22 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"celeryhook.example/celeryhook/internal/command"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/platformlog"
 )
@@ -38,7 +41,8 @@
 
 	mu      sync.Mutex
 	answers []answer
-	sent    int
+	// ids are the request ids that a script names.
+	ids map[string]core.RequestID
 }
 
 func newWorld(env *testscript.Env) *world {
@@ -46,6 +50,7 @@
 		dir:       env.WorkDir,
 		processes: make(map[string]*process),
 		loads:     make(map[string]*load),
+		ids:       make(map[string]core.RequestID),
 		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: progress},
 		start:     time.Now(),
 	}
@@ -229,51 +234,47 @@
 	}
 }
 
-// appendRecord appends a record and returns its offset.
-func (w *world) appendRecord(r platformlog.Record) (uint64, error) {
-	r.ID, r.Author = uuid.NewString(), "scenario"
-	data, err := r.Encode()
+// operate runs an operator's command against the platform.
+func (w *world) operate(args ...string) error {
+	args = append(args, "--platform", w.platformURL(), "--author", "scenario")
+	out, err := exec.Command("celeryhook", args...).CombinedOutput()
 	if err != nil {
-		return 0, err
+		return fmt.Errorf("%s: %w: %s", strings.Join(args, " "), err, out)
 	}
-	return platformlog.NewHTTPLog(w.platformURL(), w.http).Append(context.Background(), data)
+	return nil
 }
 
-// submit appends policies that replace the version in force; exactly one must
-// come into force.
-func (w *world) submit(documents ...string) error {
+// race submits documents at the same time, all to replace the version in
+// force, and returns which one was accepted; the others must be told so.
+func (w *world) race(files []string) (int, error) {
 	folded, err := w.readLog()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	var offsets []uint64
-	for _, d := range documents {
-		offset, err := w.appendRecord(platformlog.Record{Kind: platformlog.KindPolicy, Base: folded.PolicyVersion, Document: d})
-		if err != nil {
-			return err
+	errs := make([]error, len(files))
+	var group sync.WaitGroup
+	for i, f := range files {
+		group.Go(func() {
+			errs[i] = w.operate("policy", "submit", f, "--base", strconv.FormatUint(folded.PolicyVersion, 10))
+		})
+	}
+	group.Wait()
+	won := -1
+	for i, err := range errs {
+		var exit *exec.ExitError
+		switch {
+		case err == nil && won < 0:
+			won = i
+		case err == nil:
+			return 0, fmt.Errorf("%s and %s were both accepted", files[won], files[i])
+		case !errors.As(err, &exit) || exit.ExitCode() != command.ExitRaced:
+			return 0, err
 		}
-		offsets = append(offsets, offset)
-	}
-	if folded, err = w.readLog(); err != nil {
-		return err
 	}
-	if folded.PolicyVersion != offsets[0] {
-		return fmt.Errorf("policy at offset %d is not in force, version %d is", offsets[0], folded.PolicyVersion)
-	}
-	return nil
-}
-
-// setDomain changes the state of a failure domain.
-func (w *world) setDomain(name string, state platformlog.DomainState) error {
-	folded, err := w.readLog()
-	if err != nil {
-		return err
+	if won < 0 {
+		return 0, errors.Join(errs...)
 	}
-	_, err = w.appendRecord(platformlog.Record{
-		Kind: platformlog.KindDomain, Base: folded.Delegation.Number,
-		FailureDomain: core.FailureDomain(name), State: state,
-	})
-	return err
+	return won, nil
 }
 
 // policy returns a document with a section for each target, to which extra
