--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -69,10 +69,13 @@
 	p.log.Info("entry VM stopping, no longer ready", "vm", p.settings.VM)
 	_ = p.members.Put(ctx, membership.Leave{})
 	p.settle(ctx)
+	for _, l := range s.listeners {
+		l.Quiesce(ctx)
+	}
 	p.finish(ctx)
 	p.shutdown(ctx, s.callers, "callers")
 	p.shutdown(ctx, s.peers, "peers")
-	accept.Linger()
+	accept.Linger(ctx)
 	p.shutdown(ctx, s.operators, "operators")
 	p.stopDuties()
 	p.log.Info("entry VM stopped", "vm", p.settings.VM)
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -29,7 +29,7 @@
 	for _, id := range h.sortedRanges(func(*rangeState) bool { return true }) {
 		r := h.ranges[id]
 		if now.Sub(r.movedAt) > remember {
-			r.memoryAt = nil
+			r.memoryAt, r.memorySince = nil, core.Token{}
 		}
 		next.Ranges[id] = h.assignment(id, r, issues)
 	}
@@ -39,13 +39,24 @@
 		}
 		x.witnesses = c.chooseWitnesses(x)
 		if now.Sub(x.previousAt) > remember {
-			x.previous = nil
+			x.previous, x.previousSince = nil, core.Token{}
 		}
 		c.issue(x, *issues[id])
-		next.Targets[id] = core.TargetAssignment{
-			Front: x.front, Witnesses: x.witnesses, Previous: x.previous, Token: x.token,
-			Incarnation: x.incarnation, Leaving: x.leaving() || x.lost,
+		for _, r := range x.issued.serving {
+			if held := h.ranges[r]; held != nil && held.target == id {
+				held.served = x.token
+			}
 		}
+		a := core.TargetAssignment{
+			Front: x.front, Witnesses: x.witnesses, Previous: x.previous, PreviousSince: x.previousSince, Token: x.token,
+			Leaving: x.leaving() || x.lost,
+		}
+		if x.fenced {
+			a.Incarnation = x.incarnation
+		}
+		// Without an incarnation a front may go on with a grant of an earlier
+		// holder, but not take it anew: that holder may have moved the ranges.
+		next.Targets[id] = a
 	}
 	c.current = next
 	c.emit(Publish{Map: next, To: c.others()})
@@ -54,7 +65,7 @@
 // assignment is what the map says of a range; it is also noted in the issue of
 // its target.
 func (h *holder) assignment(id core.RangeID, r *rangeState, issues map[core.Target]*issue) core.RangeAssignment {
-	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt}
+	a := core.RangeAssignment{Target: r.target, MemoryAt: r.memoryAt, MemorySince: r.memorySince, FirstFor: r.firstFor}
 	x := h.targets[r.target]
 	switch {
 	case r.target == "" && r.assumed != "":
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		x.inspectAt = now.Add(inspectInterval)
-		token := h.fence
+		token := core.Token{Term: h.role.Term, Rank: h.role.Rank, Seq: h.fence.Seq}
 		if x.fenced {
 			// A greater token would fence the front's own.
 			token = x.token
@@ -33,11 +33,11 @@
 	}
 	c.supersede(now, m.Reply.Token)
 	h := c.holder
-	if h == nil || m.Order.Token.Less(h.fence) {
+	if h == nil {
 		return
 	}
 	x := h.targets[m.Target]
-	if x == nil || x.fenced && !x.lost {
+	if x == nil || !x.fenced && m.Order.Token.Less(h.fence) || x.fenced && (!x.lost || m.Order.Token != x.token) {
 		return
 	}
 	h.wake, h.dirty = true, true
@@ -62,6 +62,10 @@
 	x.incarnation = reply.Incarnation
 	x.ends = now.Add(core.Lengthen(core.GrantLease))
 	x.quietAt = x.ends
+	if x.token.Less(reply.Granted) {
+		// The earlier holder gave out a map that this one has not heard.
+		x.token = reply.Granted
+	}
 	if reply.Held {
 		x.front = reply.Front
 		for _, id := range reply.Ranges {
@@ -71,12 +75,13 @@
 				h.ranges[id] = r
 			}
 			r.target, r.assumed, r.moving, r.held = x.id, "", false, true
+			r.served = reply.Granted
 		}
 	}
 	for _, r := range h.ranges {
 		if r.assumed == x.id {
 			r.assumed = ""
-			r.memoryAt, r.movedAt = x.memory(), now
+			r.memoryAt, r.memorySince, r.movedAt = x.memory(), x.token, now
 		}
 	}
 }
@@ -195,7 +200,7 @@
 
 func (r *rangeState) free(now core.Instant, x *targetState) {
 	r.target, r.moving = "", false
-	r.memoryAt, r.movedAt = x.memory(), now
+	r.memoryAt, r.memorySince, r.movedAt, r.firstFor = x.memory(), r.served, now, 0
 }
 
 // stopped reports whether no VM extends the grant of a target any more. The
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -134,6 +134,7 @@
 	deferred    []func()
 	incarnation uint64
 	token       core.Token
+	granted     core.Token
 	front       core.VM
 	ranges      []core.RangeID
 	leaseEnd    grant.TargetClock
@@ -164,7 +165,7 @@
 		t.w.check(t, o)
 	}
 	r := grant.OrderReply{
-		Accepted: reason == "", Reason: reason, Token: t.token, Held: t.held(), LeaseEnd: t.leaseEnd,
+		Accepted: reason == "", Reason: reason, Token: t.token, Granted: t.granted, Held: t.held(), LeaseEnd: t.leaseEnd,
 		Clock: t.clock(), Incarnation: t.incarnation, Draining: t.draining,
 	}
 	if r.Held {
@@ -187,7 +188,7 @@
 		if order < 0 || order == 0 && t.front != "" && t.front != o.Front {
 			return "older token"
 		}
-		t.token, t.front, t.leaseEnd = o.Token, o.Front, o.LeaseEnd
+		t.token, t.granted, t.front, t.leaseEnd = o.Token, o.Token, o.Front, o.LeaseEnd
 		t.ranges = append([]core.RangeID(nil), o.Ranges...)
 	case grant.OrderRenew:
 		if order != 0 || !t.held() || t.front != o.Front {
@@ -220,6 +221,7 @@
 // simLog is the platform's log.
 type simLog struct {
 	entries []platformlog.Entry
+	folded  platformlog.Folded
 	down    bool
 	// slow delays appends, which then take effect after their timeout.
 	slow    time.Duration
@@ -237,6 +239,7 @@
 	}
 	offset := uint64(len(w.log.entries) + 1)
 	w.log.entries = append(w.log.entries, platformlog.Entry{Offset: offset, Data: data})
+	w.log.folded, _ = w.log.folded.Apply(offset, r) // an error says that it was skipped
 	waiting := w.log.waiting
 	w.log.waiting = nil
 	for _, run := range waiting {
@@ -261,9 +264,10 @@
 	fmt.Fprintf(&b, "[deployment]\nname = sim\nfailure_domains = %s\n", strings.Join(p.domains, ","))
 	fmt.Fprintf(&b, "[control]\ncandidates = %d\nmove_after = %s\nmoves_in_flight = 2\n", p.candidates, p.moveAfter)
 	fmt.Fprintf(&b, "[service s]\ndivision = key\nranges = %d\nisolation = %s\n", p.ranges, p.isolation)
-	for _, t := range p.targets {
+	b.WriteString("[route get]\npath = /s/{k}\nservice = s\nkey = path:k\n")
+	for i, t := range p.targets {
 		id, domain, _ := strings.Cut(t, "@")
-		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:1\nslots = 4\nleaving = %t\n", id, domain, p.leaving[id])
+		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:%d\nslots = 4\nleaving = %t\n", id, domain, i+1, p.leaving[id])
 	}
 	return b.String()
 }
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -41,7 +41,11 @@
 	Witnesses []VM
 	// Previous are the VMs that may hold the request ids of earlier fronts.
 	Previous []VM
-	Token    Token
+	// PreviousSince is the token from which the last front and its witnesses
+	// were as they are in Previous. The memory of a VM that had no part in it
+	// from then on is not complete. Zero means that any counts.
+	PreviousSince Token
+	Token         Token
 	// Incarnation is the target's incarnation for which the assignment is
 	// made. A target that restarts forgets its fence, so a front gives its
 	// grant to no other incarnation.
@@ -55,6 +59,12 @@
 	State  RangeState
 	// MemoryAt are the VMs that hold the range's request ids from before its move.
 	MemoryAt []VM
+	// MemorySince is to MemoryAt what PreviousSince is to Previous.
+	MemorySince Token
+	// FirstFor is the incarnation of the front's process if no front had the
+	// range before, so that there are no request ids to recall; else 0. A
+	// process that replaces it under the VM's id has another incarnation.
+	FirstFor uint64
 }
 
 // RangeMap is the assignment of one failure domain. It is never changed once
--- a/internal/grant/order.go
+++ b/internal/grant/order.go
@@ -51,15 +51,18 @@
 	// Token is the greatest token that the target has seen.
 	Token core.Token `json:"token"`
 	// Held says whether an unexpired grant exists; Front and Ranges are its.
-	Held        bool           `json:"held"`
-	Front       core.VM        `json:"front"`
-	Ranges      []core.RangeID `json:"ranges,omitempty"`
-	LeaseEnd    TargetClock    `json:"lease_end"`
-	Clock       TargetClock    `json:"clock"`
-	Incarnation uint64         `json:"incarnation"`
-	InFlight    int            `json:"in_flight"`
-	Cold        bool           `json:"cold"`
-	Draining    bool           `json:"draining"`
+	Held     bool           `json:"held"`
+	Front    core.VM        `json:"front"`
+	Ranges   []core.RangeID `json:"ranges,omitempty"`
+	LeaseEnd TargetClock    `json:"lease_end"`
+	// Granted is the token of the last grant that was taken, also after its
+	// end; Token may be greater by an inspect.
+	Granted     core.Token  `json:"granted"`
+	Clock       TargetClock `json:"clock"`
+	Incarnation uint64      `json:"incarnation"`
+	InFlight    int         `json:"in_flight"`
+	Cold        bool        `json:"cold"`
+	Draining    bool        `json:"draining"`
 }
 
 // ClockReading relates a target's clock to this VM's.
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -59,7 +59,8 @@
 			Token:     tokenToPB(a.Token),
 			Leaving:   a.Leaving,
 
-			Incarnation: a.Incarnation,
+			Incarnation:   a.Incarnation,
+			PreviousSince: tokenToPB(a.PreviousSince),
 		})
 	}
 	for id, a := range m.Ranges {
@@ -68,6 +69,9 @@
 			Target:   string(a.Target),
 			State:    uint32(a.State),
 			MemoryAt: vmsToPB(a.MemoryAt),
+
+			MemorySince: tokenToPB(a.MemorySince),
+			FirstFor:    a.FirstFor,
 		})
 	}
 	return out
@@ -89,7 +93,8 @@
 			Token:     tokenFromPB(a.GetToken()),
 			Leaving:   a.GetLeaving(),
 
-			Incarnation: a.GetIncarnation(),
+			Incarnation:   a.GetIncarnation(),
+			PreviousSince: tokenFromPB(a.GetPreviousSince()),
 		}
 	}
 	for _, a := range m.GetRanges() {
@@ -97,6 +102,9 @@
 			Target:   core.Target(a.GetTarget()),
 			State:    core.RangeState(a.GetState()),
 			MemoryAt: vmsFromPB(a.GetMemoryAt()),
+
+			MemorySince: tokenFromPB(a.GetMemorySince()),
+			FirstFor:    a.GetFirstFor(),
 		}
 	}
 	return out
