--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -47,10 +47,16 @@
 			w := newWorld(env)
 			env.Values[worldKey{}] = w
 			env.Defer(func() {
-				failed, ok := env.T().(interface{ Failed() bool })
+				t, ok := env.T().(interface{ Failed() bool })
+				keep := ok && t.Failed() && *logDir != ""
+				if keep {
+					w.saveStatus()
+				}
 				w.close()
-				if ok && failed.Failed() && *logDir != "" {
-					_ = os.CopyFS(filepath.Join(*logDir, filepath.Base(env.WorkDir)), os.DirFS(env.WorkDir))
+				if keep {
+					to := filepath.Join(*logDir, filepath.Base(env.WorkDir))
+					_ = os.RemoveAll(to)
+					_ = os.CopyFS(to, os.DirFS(env.WorkDir))
 				}
 				<-places
 			})
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -77,6 +77,17 @@
 	w.http.CloseIdleConnections()
 }
 
+// saveStatus keeps what the VMs say of themselves for the logs.
+func (w *world) saveStatus() {
+	for _, vm := range w.usable() {
+		var status json.RawMessage
+		if err := w.call(http.MethodGet, "http://"+vm.operators+"/status", nil, &status); err != nil {
+			status = []byte(err.Error())
+		}
+		_ = os.WriteFile(filepath.Join(w.dir, "log", vm.id+".status"), status, 0o644)
+	}
+}
+
 func (w *world) process(id string) (*process, error) {
 	if p := w.processes[id]; p != nil {
 		return p, nil
