front: hand a gap in the memory of request ids on with the range

Cause: a front whose memory had a gap told its successor that it was incomplete, and the successor declared a gap of its own from then on, so that every planned move refused new bookings again for five seconds. Change: the answer carries when the gap ended and how long it matters. A VM without a policy now answers no-owner instead of bad-request: its routes are not known yet.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -31,6 +31,8 @@
 	metrics *observe.Metrics
 	log     logr.Logger
 	engine  atomic.Pointer[gin.Engine]
+	// applied is set once a policy was applied; before that any route may exist.
+	applied atomic.Bool
 	// inFlight counts requests from their head to their response.
 	inFlight atomic.Int64
 	// closing is set once responses ask callers to leave the connection.
--- a/internal/accept/engine.go
+++ b/internal/accept/engine.go
@@ -6,9 +6,11 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/policy"
 )
 
@@ -31,6 +33,11 @@
 
 func (a *Acceptor) noRoute(reason string, status int) gin.HandlerFunc {
 	return func(c *gin.Context) {
+		if !a.applied.Load() {
+			a.metrics.Count("rejections", "accept", string(core.OutcomeNoOwner))
+			writeProblem(c.Writer, problemOf(core.OutcomeNoOwner, "no policy is in force on this VM yet", ""), time.Second)
+			return
+		}
 		what := c.Request.Method + " " + c.Request.URL.EscapedPath()
 		a.refuse(c, &fault{reason: reason, status: status, detail: "no route of the policy matches " + what[:min(len(what), maxShown)]}, "")
 	}
@@ -45,6 +52,7 @@
 		e, failed, reason := a.build(p, left)
 		if failed < 0 {
 			a.engine.Store(e)
+			a.applied.Store(true)
 			break
 		}
 		// The router's tree may be damaged, so it is built again without the route.
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -271,6 +271,11 @@
 			s.retryAt = now.Add(recallPause)
 		case m.Memory.Complete:
 			t.ready(id, c)
+		case m.Memory.Gap != nil:
+			// The gap stays where it is; a new one would begin with each move.
+			c.ready, c.asking = true, false
+			c.gapEnd = now.Add(-m.Memory.Gap.Age)
+			c.gapUntil = now.Add(core.Lengthen(m.Memory.Gap.Left))
 		case len(m.Ranges) > 1:
 			// One range may spoil the answer for all; ask for each alone.
 			f.ask(t, c, s, id)
@@ -368,12 +373,23 @@
 	return c != nil && c.ready && !c.suspect && c.gapUntil == 0
 }
 
+// gap returns the gap of a memory that is complete but for it, or nil.
+func (c *custody) gap(now core.Instant, since core.Token) *witness.Gap {
+	if c == nil || !c.ready || c.suspect || c.token.Less(since) || !now.Before(c.gapUntil) {
+		return nil
+	}
+	return &witness.Gap{Age: now.Sub(c.gapEnd), Left: c.gapUntil.Sub(now)}
+}
+
 // tell answers another front's question with this front's own memory.
 func (f *Front) tell(now core.Instant, q witness.Question) witness.Memory {
 	out := witness.Memory{Complete: true}
 	for _, id := range q.Ranges {
 		out.Complete = out.Complete && f.covered(id) && !f.custody[id].token.Less(q.Since)
 	}
+	if len(q.Ranges) == 1 {
+		out.Gap = f.custody[q.Ranges[0]].gap(now, q.Since)
+	}
 	out.Records = f.memory.Select(now, func(held core.RangeID) bool {
 		return slices.ContainsFunc(q.Ranges, func(asked core.RangeID) bool { return witness.Covers(held, asked) })
 	})
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -42,6 +42,7 @@
 	}
 	return witness.Memory{
 		Complete:    reply.GetComplete(),
+		Gap:         gapFromPB(reply.GetGap()),
 		Records:     recordsFromPB(reply.GetRequests()),
 		RampLimit:   int(reply.GetRampLimit()),
 		Incarnation: reply.GetTargetIncarnation(),
@@ -78,12 +79,30 @@
 	}
 	return &peerpb.RecallReply{
 		Complete:          memory.Complete,
+		Gap:               gapToPB(memory.Gap),
 		Requests:          recordsToPB(memory.Records),
 		RampLimit:         uint32(memory.RampLimit),
 		TargetIncarnation: memory.Incarnation,
 	}, nil
 }
 
+func gapToPB(g *witness.Gap) *peerpb.MemoryGap {
+	if g == nil {
+		return nil
+	}
+	return &peerpb.MemoryGap{AgeMs: uint64(g.Age.Milliseconds()), LeftMs: uint64(g.Left.Milliseconds()) + 1}
+}
+
+func gapFromPB(g *peerpb.MemoryGap) *witness.Gap {
+	if g == nil {
+		return nil
+	}
+	return &witness.Gap{
+		Age:  time.Duration(g.GetAgeMs()) * time.Millisecond,
+		Left: time.Duration(g.GetLeftMs()) * time.Millisecond,
+	}
+}
+
 func recordsToPB(records []witness.Record) []*peerpb.RememberedRequest {
 	out := make([]*peerpb.RememberedRequest, len(records))
 	for i, r := range records {
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -128,11 +128,23 @@
 	Since core.Token
 }
 
+// Gap says from when on a front's memory is complete, and for how long it still
+// matters that it isn't complete before.
+type Gap struct {
+	// Age is how long ago the gap ended.
+	Age time.Duration
+	// Left is how long requests from before the gap's end may still be repeated.
+	Left time.Duration
+}
+
 // Memory answers a question for remembered requests.
 type Memory struct {
 	// Complete is true if every request of the ranges that may have run is in
 	// Records or older than the policy's remember time.
-	Complete    bool
+	Complete bool
+	// Gap is set by a front whose memory of the one range asked for is complete
+	// but for requests from before the gap's end.
+	Gap         *Gap
 	Records     []Record
 	RampLimit   int
 	Incarnation uint64
