--- a/internal/app/count.go
+++ b/internal/app/count.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"errors"
 	"strconv"
 
 	"celeryhook.example/celeryhook/internal/core"
@@ -11,25 +10,6 @@
 	"celeryhook.example/celeryhook/internal/route"
 )
 
-// skipReasons name the reasons for which a log record is skipped.
-var skipReasons = map[error]string{
-	platformlog.ErrRecord:   "undecodable",
-	platformlog.ErrRepeat:   "repeat",
-	platformlog.ErrStale:    "stale",
-	platformlog.ErrAuthor:   "author",
-	platformlog.ErrDocument: "document",
-	platformlog.ErrOrder:    "order",
-}
-
-func skipReason(err error) string {
-	for sentinel, name := range skipReasons {
-		if errors.Is(err, sentinel) {
-			return name
-		}
-	}
-	return "other"
-}
-
 func (p *Process) countReaderMessage(m platformlog.Message) {
 	if read, ok := m.(platformlog.PageRead); ok {
 		p.metrics.Latency(p.clock().Sub(read.Began), "log_read")
@@ -38,7 +18,7 @@
 
 func (p *Process) countReaderOutput(o platformlog.Output) {
 	if skipped, ok := o.(platformlog.Skipped); ok {
-		p.metrics.Count("log", "skipped", skipReason(skipped.Err))
+		p.metrics.Count("log", "skipped", platformlog.Reason(skipped.Err))
 	}
 }
 
--- a/internal/app/emit_reader.go
+++ b/internal/app/emit_reader.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/rcrowley/go-metrics"
-
 	"celeryhook.example/celeryhook/internal/coordinate"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/route"
@@ -18,11 +16,12 @@
 		p.logChanged(ctx, o)
 	case platformlog.Fresh:
 		_ = p.coordinator.Put(ctx, coordinate.LogFresh{Began: o.Began})
+	case platformlog.Append:
+		p.submit(ctx, p.logPool.Submit, func(ctx context.Context) { p.appendSnapshot(ctx, o.Record) })
 	case platformlog.Skipped:
-		metrics.GetOrRegisterCounter("platformlog.skipped."+platformlog.Reason(o.Err), nil).Inc(1)
 		p.log.V(1).Info("log record skipped", "offset", o.Offset, "reason", o.Err.Error())
 	case platformlog.Gap:
-		metrics.GetOrRegisterCounter("platformlog.gaps", nil).Inc(1)
+		p.metrics.Count("log", "gaps")
 		p.log.Info("log records expired before they were read", "wanted", o.Wanted, "first", o.First)
 	case platformlog.Closed:
 		p.log.Info("state taken from a snapshot of the log", "offset", o.Offset)
@@ -47,6 +46,22 @@
 	_ = p.reader.Put(ctx, platformlog.PageRead{Began: began, From: r.From, Limit: r.Limit, Page: page})
 }
 
+// appendSnapshot appends a snapshot; the reader asks again if it fails.
+func (p *Process) appendSnapshot(ctx context.Context, r platformlog.Record) {
+	data, err := r.Encode()
+	if err != nil {
+		p.log.Error(err, "snapshot can't be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	result := "appended"
+	if _, err := p.platform.Append(ctx, data); err != nil {
+		result = "failed"
+	}
+	p.metrics.Count("log", "snapshots", result)
+}
+
 func (p *Process) logChanged(ctx context.Context, c platformlog.Changed) {
 	if c.Policy == nil {
 		return
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -160,7 +160,7 @@
 	p.runPool(ctx, p.peerPool)
 	p.runPool(ctx, p.targetPool)
 	p.runPool(ctx, p.memoryPool)
-	start(ctx, p, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
+	start(ctx, p, p.reader, platformlog.NewReader(s.VM), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
 	start(ctx, p, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), nil, nil)
 	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain, p.incarnation), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
 	start(ctx, p, p.grants, grant.NewKeeper(s.VM, s.FailureDomain, p.incarnation), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -60,7 +60,7 @@
 	v.incarnation++
 	v.alive, v.frozen, v.deferred = true, false, nil
 	v.coordinator = New(v.id, v.domain, v.incarnation)
-	v.reader = platformlog.NewReader()
+	v.reader = platformlog.NewReader(v.id)
 	v.keeper = grant.NewKeeper(v.id, v.domain, v.incarnation)
 	v.folded, v.policy = platformlog.Folded{}, nil
 	v.maps = make(map[core.FailureDomain]*core.RangeMap)
--- a/internal/platformlog/log_test.go
+++ b/internal/platformlog/log_test.go
@@ -189,7 +189,7 @@
 	is := is.New(t)
 	log := &testLog{}
 	log.append(Record{Kind: KindPolicy, ID: "p1", Document: document(1)})
-	r := NewReader()
+	r := NewReader("vm")
 	r.Step(0, Tick{})
 	out := r.Step(0, PageRead{From: 1, Limit: 10, Page: log.page(1, 10)})
 	is.Equal(len(out), 3) // Changed, Fresh, Read
@@ -213,7 +213,7 @@
 // would stop the replay for ever.
 func TestReadsShrinkAfterFailures(t *testing.T) {
 	is := is.New(t)
-	r, now, limit := NewReader(), core.Instant(0), 0
+	r, now, limit := NewReader("vm"), core.Instant(0), 0
 	r.Step(now, Tick{})
 	for range 12 {
 		r.Step(now, ReadFailed{Err: ErrUnavailable})
@@ -307,3 +307,34 @@
 		}
 	})
 }
+
+// Guards against a log that forgets the state because nobody repeats it: the
+// author of snapshots must append one once a third of the retention has passed.
+func TestReaderAppendsSnapshots(t *testing.T) {
+	is := is.New(t)
+	r := NewReader("a")
+	r.Step(0, Tick{})
+	document := "[deployment]\nname = d\nfailure_domains = d1\n[control]\nlog_records = 30\n" +
+		"[service s]\n[target t]\nservice = s\nfailure_domain = d1\naddress = 127.0.0.1:1\n[route r]\npath = /s\nservice = s\n"
+	var entries []Entry
+	add := func(rec Record) {
+		data, err := rec.Encode()
+		is.NoErr(err)
+		entries = append(entries, Entry{Offset: uint64(len(entries) + 1), Data: data})
+	}
+	add(Record{Kind: KindPolicy, ID: "p", Document: document})
+	add(Record{Kind: KindTerm, ID: "t", Author: "a", FailureDomain: "d1", Coordinator: "a"})
+	snapshots := 0
+	for i := range 40 {
+		add(Record{Kind: KindReleased, ID: fmt.Sprint("r", i), Base: 99})
+		from := r.replay.From()
+		page := Page{First: 1, Entries: entries[from-1:]}
+		for _, o := range r.Step(core.Instant(i)*core.Instant(time.Second), PageRead{From: from, Limit: 99, Page: page}) {
+			if a, ok := o.(Append); ok {
+				snapshots++
+				add(a.Record)
+			}
+		}
+	}
+	is.True(snapshots >= 4) // one at the start, then one each 10 records
+}
--- a/internal/platformlog/reader.go
+++ b/internal/platformlog/reader.go
@@ -67,6 +67,8 @@
 	// Gap reports that records had expired before they were read. The state
 	// stays as it is until a snapshot or a peer's state closes the gap.
 	Gap struct{ Wanted, First uint64 }
+	// Append asks for a snapshot to be appended.
+	Append struct{ Record Record }
 	// Closed reports that the state of a snapshot closed a gap.
 	Closed struct{ Offset uint64 }
 )
@@ -76,21 +78,24 @@
 func (Fresh) isReaderOutput()   {}
 func (Skipped) isReaderOutput() {}
 func (Gap) isReaderOutput()     {}
+func (Append) isReaderOutput()  {}
 func (Closed) isReaderOutput()  {}
 
 // Reader is the step of the log reader.
 type Reader struct {
-	replay  Replay
-	policy  *policy.Policy
-	version uint64
-	size    readSize
-	reading bool
-	pause   time.Duration
-	retryAt core.Instant
+	replay   Replay
+	policy   *policy.Policy
+	version  uint64
+	size     readSize
+	reading  bool
+	pause    time.Duration
+	retryAt  core.Instant
+	self     core.VM
+	snapshot SnapshotClock
 }
 
-// NewReader returns a reader at the start of the log.
-func NewReader() *Reader { return &Reader{size: largest} }
+// NewReader returns a VM's reader at the start of the log.
+func NewReader(self core.VM) *Reader { return &Reader{size: largest, self: self} }
 
 // Step implements duty.Step.
 func (r *Reader) Step(now core.Instant, m Message) []Output {
@@ -116,6 +121,10 @@
 			out = append(out, r.changed())
 		}
 	}
+	var due *Record
+	if r.snapshot, due = r.snapshot.Step(now, r.self, r.replay.Folded(), r.policy); due != nil {
+		out = append(out, Append{Record: *due})
+	}
 	if !r.reading && !now.Before(r.retryAt) {
 		r.reading = true
 		out = append(out, Read{From: r.replay.From(), Limit: int(r.size), Wait: readWait})
