--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -24,7 +24,7 @@
 	// maxPost bounds a posted form: a document may triple when it is encoded.
 	maxPost = 3*policy.MaxDocumentBytes + 1<<20
 	// platformTimeout bounds what the console waits for the platform.
-	platformTimeout = 10 * time.Second
+	platformTimeout = 5 * time.Second
 )
 
 // Server is the HTTP handler of the console.
