--- a/internal/app/count.go
+++ b/internal/app/count.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strconv"
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/front"
@@ -19,6 +18,8 @@
 	platformlog.ErrAuthor:   "author",
 	platformlog.ErrDocument: "document",
 	platformlog.ErrOrder:    "order",
+	platformlog.ErrState:    "state",
+	platformlog.ErrTooLarge: "too_large",
 }
 
 func skipReason(err error) string {
@@ -85,17 +86,21 @@
 }
 
 func (p *Process) countRouteMessage(m route.Message) {
-	if lookup, ok := m.(route.Lookup); ok && lookup.Request.Attempt > 1 {
-		p.metrics.Count("retries", string(lookup.Request.Service), attemptName(lookup.Request.Attempt))
+	switch m := m.(type) {
+	case route.Lookup:
+		service := string(m.Request.Service)
+		switch {
+		case m.Hedge:
+			p.metrics.Count("hedges", service, "asked")
+		case len(m.Tried) > 0 || m.Last != "":
+			p.metrics.Count("retries", service, string(m.Last))
+		}
+	case route.Done:
+		p.metrics.Count("attempts", string(m.Service), string(m.Outcome))
+		p.metrics.Latency(m.Latency, "attempt", string(m.Service))
 	}
 }
 
-// attemptName bounds the number of names; later attempts are rare.
-func attemptName(attempt uint32) string {
-	const most = 8
-	return strconv.FormatUint(uint64(min(attempt, most)), 10)
-}
-
 func (p *Process) countRouteOutput(o route.Output) {
 	if a, ok := o.(route.Answer); ok && a.Decision.Outcome != "" && a.Decision.Outcome != core.OutcomeAnswered {
 		p.metrics.Count("rejections", "route", string(a.Decision.Outcome))
