front: a hot key split off at the same front keeps its memory

Cause: a key that became a range of its own was looked for at other VMs, although the memory of its numbered range was at hand; without a witness that was a gap. Selecting the records of a few ranges compared each record with each range. Change: the custody of a hot key follows from that of its range; records are selected by set.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -58,7 +58,7 @@
 			answer = j.run(ctx, d)
 		}
 		pause, again := route.Pause(answer.Outcome, call.Request.Idempotent, attempts)
-		if !again || !e.clock().Add(pause).Before(call.Request.Deadline) || !sleep(ctx, pause) {
+		if !again || e.clock().Add(pause+route.MinAttempt).After(call.Request.Deadline) || !sleep(ctx, pause) {
 			return answer
 		}
 	}
--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -86,7 +86,7 @@
 	for _, t := range f.targets {
 		for id, r := range t.assignment.Ranges {
 			mine[id] = struct{}{}
-			f.assignRange(id, custodyFrom(t.assignment, r))
+			f.assignRange(id, r, custodyFrom(t.assignment, r))
 		}
 	}
 	for id, c := range f.custody {
@@ -111,10 +111,14 @@
 // assignRange decides whether the memory of a range must be recalled. It must
 // not if this front had a part in the range since the token that the map names,
 // or, for a map without such a token, if the map names no VM that was not asked.
-func (f *Front) assignRange(id core.RangeID, next *custody) {
+func (f *Front) assignRange(id core.RangeID, r Range, next *custody) {
 	c := f.custody[id]
 	switch {
 	case c == nil:
+		if base := f.custody[r.Base]; id.HotKey != 0 && base != nil && base.left == 0 && f.covered(r.Base) && !base.token.Less(next.since) {
+			// The key was part of a range whose memory is here.
+			next.ready, next.token = true, base.token
+		}
 	case c.since == next.since && c.left == 0 && c.knows(next.sources):
 		return
 	case c.ready && !next.since.IsZero() && !c.token.Less(next.since):
@@ -373,9 +377,7 @@
 	for _, id := range q.Ranges {
 		out.Complete = out.Complete && f.covered(id) && !f.custody[id].token.Less(q.Since)
 	}
-	out.Records = f.memory.Select(now, func(held core.RangeID) bool {
-		return slices.ContainsFunc(q.Ranges, func(asked core.RangeID) bool { return witness.Covers(held, asked) })
-	})
+	out.Records = f.memory.Select(now, witness.Matcher(q.Ranges))
 	if t := f.targets[q.Target]; t != nil {
 		out.RampLimit, out.Incarnation = t.ramp.limit, t.view.Incarnation
 	}
--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -13,8 +13,8 @@
 	batchSize = 256
 	// storePause is the pause after a witness did not store a batch.
 	storePause = 50 * time.Millisecond
-	// linkIdle is how long a witness may hear nothing; it drops copies that it
-	// has not heard of for the remember time.
+	// linkIdle is the longest time for which a witness hears nothing; it drops
+	// copies that it has not heard of for the remember time.
 	linkIdle = 15 * time.Second
 )
 
@@ -69,9 +69,7 @@
 	}
 	ids := t.uncovered
 	t.uncovered = nil
-	keys := f.memory.Keys(func(held core.RangeID) bool {
-		return slices.ContainsFunc(ids, func(id core.RangeID) bool { return witness.Covers(held, id) })
-	})
+	keys := f.memory.Keys(witness.Matcher(ids))
 	for _, l := range t.links {
 		for _, k := range keys {
 			l.add(k)
@@ -162,7 +160,7 @@
 	}
 	f.cover(t)
 	for _, l := range t.links {
-		level := l.level != t.ramp.limit || l.token != t.view.Token || now.Sub(l.sentAt) >= linkIdle
+		level := l.level != t.ramp.limit || l.token != t.view.Token || now.Sub(l.sentAt) >= min(linkIdle, f.remember/4)
 		if l.busy != 0 || now.Before(l.retryAt) || len(l.pending) == 0 && !l.reset && !level {
 			continue
 		}
--- a/internal/front/script_test.go
+++ b/internal/front/script_test.go
@@ -172,9 +172,14 @@
 			}
 		}
 	}
+	for _, n := range vms(values["hot"]) {
+		a.Ranges[hotKeyRange(s.number(string(n)))] = Range{Base: rangeNumber(0), MemoryAt: vms(values["memory"])}
+	}
 	return a
 }
 
+func hotKeyRange(n int) core.RangeID { return core.RangeID{Service: service, HotKey: uint64(n)} }
+
 func (s *script) submit(to core.VM, name string, values map[string]string) {
 	sub := &submission{name: name, request: core.Request{
 		ID: core.RequestID(values["id"]), Service: service, Class: core.ClassBooking,
@@ -200,6 +205,9 @@
 	if v, ok := values["range"]; ok {
 		sub.request.Range = rangeNumber(uint32(s.number(v)))
 	}
+	if v, ok := values["hot"]; ok {
+		sub.request.Range = hotKeyRange(s.number(v))
+	}
 	if v, ok := values["deadline"]; ok {
 		sub.request.Deadline = s.w.now.Add(s.duration(v))
 	}
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -58,6 +58,10 @@
 const (
 	// MaxAttempts bounds the attempts of a request.
 	MaxAttempts = 8
+	// MinAttempt is the least time left for an attempt. Fronts answer waiting
+	// requests up to 30 ms before their deadlines; with less time the answer
+	// would come too late and the outcome be unknown.
+	MinAttempt = 60 * time.Millisecond
 	// retryPause is how long a newer map takes to arrive, with a margin.
 	retryPause = 20 * time.Millisecond
 )
--- a/internal/route/celeryhook_test.go
+++ b/internal/route/celeryhook_test.go
@@ -279,7 +279,7 @@
 
 func (h *hook) again(t *attempt, o core.Outcome) {
 	pause, ok := route.Pause(o, t.request.Idempotent, max(t.count, 1))
-	if !ok || h.m.now.Add(pause) >= t.request.Deadline {
+	if !ok || h.m.now.Add(pause+route.MinAttempt) >= t.request.Deadline {
 		h.m.finish(t.a, o)
 		return
 	}
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -134,3 +134,16 @@
 	owner := look(r, 0, Lookup{Request: booking}).Target
 	is.Equal(look(r, 0, Lookup{Request: booking, Last: core.OutcomeNotRun, Tried: []core.Target{owner}}).Target, owner)
 }
+
+// BenchmarkLookup measures the step of one lookup.
+func BenchmarkLookup(b *testing.B) {
+	r := testRouter()
+	for name, q := range map[string]core.Request{"undivided": anyRequest, "divided": {Service: "key", KeyHash: 7}} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Step(0, Lookup{Request: q})
+			}
+		})
+	}
+}
--- a/internal/witness/keeper.go
+++ b/internal/witness/keeper.go
@@ -166,14 +166,7 @@
 	for _, id := range q.Ranges {
 		out.Complete = out.Complete && k.complete(id, q.Since)
 	}
-	out.Records = k.store.Select(now, func(held core.RangeID) bool {
-		for _, asked := range q.Ranges {
-			if Covers(held, asked) {
-				return true
-			}
-		}
-		return false
-	})
+	out.Records = k.store.Select(now, Matcher(q.Ranges))
 	if r := k.replicas[q.Target]; r != nil {
 		out.RampLimit, out.Incarnation = r.rampLimit, r.incarnation
 	}
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -77,14 +77,28 @@
 // Key returns the key of a record.
 func (r Record) Key() Key { return Key{Service: r.Range.Service, ID: r.ID} }
 
-// Covers reports whether memory of range held contains the requests of range
-// asked. A hot key was part of a numbered range before and may be again, and
-// neither side needs to know the number, so the two kinds match each other.
-func Covers(held, asked core.RangeID) bool {
-	if held.Service != asked.Service {
-		return false
+// Matcher returns a function that reports whether a record of a range may
+// belong to one of the ranges asked for. A hot key was part of a numbered range
+// before and may be again, and not every VM knows which number, so hot and
+// numbered ranges of a service match each other.
+func Matcher(asked []core.RangeID) func(core.RangeID) bool {
+	type kind struct {
+		service core.Service
+		hot     bool
+	}
+	ids := make(map[core.RangeID]struct{}, len(asked))
+	others := make(map[kind]struct{})
+	for _, id := range asked {
+		ids[id] = struct{}{}
+		others[kind{service: id.Service, hot: id.HotKey == 0}] = struct{}{}
+	}
+	return func(held core.RangeID) bool {
+		if _, ok := ids[held]; ok {
+			return true
+		}
+		_, ok := others[kind{service: held.Service, hot: held.HotKey != 0}]
+		return ok
 	}
-	return held == asked || (held.HotKey == 0) != (asked.HotKey == 0)
 }
 
 // Batch is what a front stores at a witness in one message.
