coordinate: a range that was given up is gained only by release

A holder that gave a range up and got its home back at once took it without the other failure domain's release (random schedule, two owners). Random schedules now also vary the load, and the checker also looks at single keys of hot-key ranges.

--- a/internal/coordinate/domains.go
+++ b/internal/coordinate/domains.go
@@ -25,6 +25,9 @@
 		switch homed := c.isHomed(id); {
 		case !homed && r.target != "" && !(r.moving && r.to == ""):
 			h.startMove(r, "")
+		case !homed && r.target == "":
+			// It may be another failure domain's by the time it returns.
+			r.held = false
 		case homed && r.moving && r.to == "":
 			r.moving = false
 			h.dirty = true
--- a/internal/coordinate/moves.go
+++ b/internal/coordinate/moves.go
@@ -32,6 +32,7 @@
 		}
 		if r.to == "" {
 			r.free(now, x)
+			r.held = false
 			h.wake = true
 			continue
 		}
--- a/internal/coordinate/random_test.go
+++ b/internal/coordinate/random_test.go
@@ -76,7 +76,7 @@
 	}
 	isolation := []string{"keep", "yield"}[w.rand.IntN(2)]
 	run := func(format string, args ...any) error { return w.command(fmt.Sprintf(format, args...)) }
-	if err := run("policy ranges=6 candidates=%d isolation=%s move_after=1s", w.rand.IntN(4), isolation); err != nil {
+	if err := run("policy ranges=6 candidates=%d isolation=%s move_after=%dms", w.rand.IntN(4), isolation, 100+w.rand.IntN(1000)); err != nil {
 		return w, err
 	}
 	for _, id := range vms {
@@ -107,7 +107,7 @@
 func (w *world) randomFault(vms, targets []string) []string {
 	all := slices.Concat([]string{"holder:d1", "holder:" + w.document.domains[len(w.document.domains)-1]}, vms, targets)
 	one := func(from []string) string { return from[w.rand.IntN(len(from))] }
-	switch w.rand.IntN(14) {
+	switch w.rand.IntN(16) {
 	case 0, 1:
 		return []string{"kill " + one(all)}
 	case 2:
@@ -129,6 +129,8 @@
 	case 10:
 		clear(w.cuts)
 		return []string{"heal a log"}
+	case 14, 15:
+		return []string{fmt.Sprintf("demand %d %d", 6+6*w.rand.IntN(2)+w.rand.IntN(2), 50*w.rand.IntN(2))}
 	case 11:
 		return []string{"domain " + one(w.document.domains) + " " + one([]string{"in", "out"})}
 	}
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -165,6 +165,7 @@
 	}
 	v.assign()
 	v.versions()
+	v.w.checkKeys()
 }
 
 func (v *simVM) versions() {
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -210,13 +211,43 @@
 		for _, a := range t.ranges {
 			for _, b := range other.ranges {
 				if a == b {
-					w.note("TWO OWNERS of %s: %s (%s by %s %s) and %s (%s %s)", a, t.id, o.Kind, o.Front, o.Token, other.id, other.front, other.token)
-					w.faults = append(w.faults, w.trace[len(w.trace)-1])
+					w.fail("TWO OWNERS of %s: %s (%s by %s %s) and %s (%s %s)", a, t.id, o.Kind, o.Front, o.Token, other.id, other.front, other.token)
 					return
 				}
 			}
 		}
 	}
+	w.checkKeys()
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.note(format, args...)
+	w.faults = append(w.faults, w.trace[len(w.trace)-1])
+}
+
+// checkKeys checks that no key in demand can run at two targets. A front runs a
+// key of a range only if its map does not name the key as a range of its own.
+func (w *world) checkKeys() {
+	for hash := range w.demand {
+		var at []string
+		for id, t := range w.targets {
+			v := w.vms[t.front]
+			if v == nil || !t.held() || !v.alive || !v.clock().Before(v.views[id].HeldUntil) || v.maps[v.domain] == nil {
+				continue
+			}
+			m := v.maps[v.domain]
+			r := core.RangeID{Service: "s", HotKey: hash}
+			if _, ok := m.Ranges[r]; !ok {
+				r = core.RangeOf("s", hash, uint32(w.document.ranges))
+			}
+			if a := m.Ranges[r]; a.Target == id && a.State == core.RangeServing && slices.Contains(t.ranges, r) {
+				at = append(at, fmt.Sprintf("%s by %s %s", id, v.id, m.Version))
+			}
+		}
+		if len(at) > 1 {
+			w.fail("TWO OWNERS of key %d: %v", hash, at)
+		}
+	}
 }
 
 // simLog is the platform's log.
