coordinate: targets removed from the policy, targets that check no grants

A target that the policy drops without leaving gives up its ranges once its front reports that it dropped it, not after the policy's 7 s.

--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -49,7 +49,7 @@
 //	kill|freeze|thaw|return ID ... | cut|heal ID ID | rate ID FACTOR
 //	log up|down|slow DURATION | lose SHARE | leavevm VM
 //	demand KEYHASH REQUESTS_PER_SECOND (a target can run 100)
-//	leave TARGET | stay TARGET | drain TARGET | domain NAME in|out|lost
+//	leave|stay|remove|drain TARGET | unchecked TARGET (before start) | domain NAME in|out|lost
 //	expect served [within DURATION] | expect unserved [N]
 //	expect holder DOMAIN ID | expect moves MOST | expect owners DOMAIN N
 //	expect targetranges TARGET N | expect fronts VM N | expect busiest MOST
@@ -97,6 +97,12 @@
 	case "leave", "stay":
 		w.document.leaving[f[1]] = f[0] == "leave"
 		w.submit()
+	case "remove":
+		w.document.targets = slices.DeleteFunc(w.document.targets, func(t string) bool { return strings.HasPrefix(t, f[1]+"@") })
+		w.submit()
+	case "unchecked":
+		w.targets[core.Target(f[1])].unchecked = true
+		w.document.unchecked = map[string]bool{f[1]: true}
 	case "drain":
 		w.targets[core.Target(f[1])].draining = true
 	case "domain":
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -118,8 +118,9 @@
 		}
 	}
 	for id, x := range h.targets {
-		// The VM acts on a map that gives the target to another front.
-		if _, ok := x.extenders[r.VM]; ok && !named[id] && x.front != r.VM && !r.Version.Less(x.token) {
+		// The VM acts on a map or policy that does not give it the target.
+		replaced := x.front != r.VM || x.removed != 0
+		if _, ok := x.extenders[r.VM]; ok && !named[id] && replaced && !r.Version.Less(x.token) {
 			delete(x.extenders, r.VM)
 			x.ends = max(x.ends, now.Add(core.Lengthen(core.GrantLease)))
 			h.wake = true
@@ -177,8 +178,9 @@
 	}
 	h := c.holder
 	for id, x := range h.targets {
-		gone := x.removed != 0 && now.Sub(x.removed) >= removalWait+core.Lengthen(core.GrantLease)
-		if !gone && (!x.lost || !x.fenced || now.Before(x.ends) || !c.stopped(now, x)) {
+		ended := x.fenced && !now.Before(x.ends) && c.stopped(now, x)
+		gone := x.removed != 0 && (ended || now.Sub(x.removed) >= removalWait+core.Lengthen(core.GrantLease))
+		if !gone && !(x.lost && ended) {
 			continue
 		}
 		for _, r := range h.ranges {
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -320,6 +320,7 @@
 			})
 		case grant.Changed:
 			v.views[o.Target] = o.View
+			v.w.checkFronts(o.Target)
 		case grant.SendReport:
 			sent := v.clock()
 			reply := make(chan grant.ReportAnswer, 1)
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -141,6 +141,8 @@
 	ranges      []core.RangeID
 	leaseEnd    grant.TargetClock
 	draining    bool
+	// unchecked is set for a target that takes orders from anybody.
+	unchecked bool
 }
 
 func (t *simTarget) clock() grant.TargetClock {
@@ -177,6 +179,13 @@
 }
 
 func (t *simTarget) apply(o grant.Order) string {
+	if t.unchecked && o.Kind != grant.OrderInspect {
+		t.token, t.front, t.leaseEnd = o.Token, o.Front, o.LeaseEnd
+		if o.Kind == grant.OrderTake {
+			t.ranges = append([]core.RangeID(nil), o.Ranges...)
+		}
+		return ""
+	}
 	order := o.Token.Compare(t.token)
 	if o.Kind != grant.OrderInspect && (t.clock() > o.Deadline || o.Incarnation != t.incarnation) {
 		return "late or for another incarnation"
@@ -225,6 +234,20 @@
 	w.faults = append(w.faults, w.trace[len(w.trace)-1])
 }
 
+// checkFronts checks that at most one front sends to a target that checks no
+// grants.
+func (w *world) checkFronts(id core.Target) {
+	var at []core.VM
+	for vm, v := range w.vms {
+		if v.alive && v.clock().Before(v.views[id].HeldUntil) {
+			at = append(at, vm)
+		}
+	}
+	if len(at) > 1 && w.targets[id].unchecked {
+		w.fail("TWO FRONTS of %s: %v", id, at)
+	}
+}
+
 // checkKeys checks that no key in demand can run at two targets. A front runs a
 // key of a range only if its map does not name the key as a range of its own.
 func (w *world) checkKeys() {
@@ -289,6 +312,7 @@
 	isolation  string
 	moveAfter  string
 	leaving    map[string]bool
+	unchecked  map[string]bool
 }
 
 func (p policyText) String() string {
@@ -298,7 +322,7 @@
 	fmt.Fprintf(&b, "[service s]\ndivision = key\nranges = %d\nisolation = %s\n", p.ranges, p.isolation)
 	for _, t := range p.targets {
 		id, domain, _ := strings.Cut(t, "@")
-		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:1\nslots = 4\nleaving = %t\n", id, domain, p.leaving[id])
+		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:1\nslots = 4\nleaving = %t\nchecks_grants = %t\n", id, domain, p.leaving[id], !p.unchecked[id])
 	}
 	return b.String()
 }
