--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -165,6 +165,7 @@
 	}
 	v.assign()
 	v.versions()
+	v.w.checkKeys()
 }
 
 func (v *simVM) versions() {
@@ -319,6 +320,7 @@
 			})
 		case grant.Changed:
 			v.views[o.Target] = o.View
+			v.w.checkFronts(o.Target)
 		case grant.SendReport:
 			sent := v.clock()
 			reply := make(chan grant.ReportAnswer, 1)
