--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -227,12 +228,15 @@
 	if err != nil {
 		return "", err
 	}
-	changes := make(map[string]string)
+	changes := make(map[string]any)
 	for _, arg := range args[1:] {
 		name, value, _ := strings.Cut(arg, "=")
 		changes[name] = value
+		if p.kind == kindPlatform {
+			changes[name] = json.RawMessage(value)
+		}
 	}
-	return "", w.call(http.MethodPost, "http://"+p.address+"/standin/faults", changes, nil)
+	return "", w.call(http.MethodPut, "http://"+p.address+"/standin/faults", changes, nil)
 }
 
 func commandCold(w *world, _ *testscript.TestScript, args []string) (string, error) {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -20,7 +20,8 @@
 //	who VAR coordinator DOMAIN         set VAR to the VM that the log names
 //	who VAR front TARGET               set VAR to the VM that sent the target's last run
 //	who VAR plain-front DOMAIN ID      set VAR to a VM that is a front and isn't ID
-//	fault ID NAME=VALUE...             set faults of a stand-in
+//	fault ID NAME=VALUE...             set faults of a stand-in; those of the platform that
+//	                                   are not named end
 //	cold ID                            make a target cold without warning
 //	overloads ID MAX                   check how often a cold target got more than it bears
 //	cut A B, heal                      cut the links between two of: ID, DOMAIN, DOMAIN:vm, platform;
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -43,6 +43,8 @@
 	vm      string
 	outcome string
 	detail  string
+	// at is when it was sent, counted from the script's start.
+	at time.Duration
 	// fault is set if an answer isn't that of its request, whole.
 	fault string
 }
@@ -74,8 +76,9 @@
 
 // do sends a request through a VM and records the answer.
 func (w *world) do(vm *process, r request) answer {
+	at := time.Since(w.start).Round(time.Millisecond)
 	a := w.exchange(vm, r)
-	a.request, a.vm = r, vm.id
+	a.request, a.vm, a.at = r, vm.id, at
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
@@ -280,8 +283,8 @@
 	}
 	for outcome, a := range l.first {
 		if len(want) > 0 && !slices.Contains(want, outcome) {
-			return summary, fmt.Errorf("%s: first %s: %s %s through %s: %s",
-				summary, outcome, a.request.method, a.request.path, a.vm, a.detail)
+			return summary, fmt.Errorf("%s: first %s: %s %s through %s: %s, sent at %v",
+				summary, outcome, a.request.method, a.request.path, a.vm, a.detail, a.at)
 		}
 	}
 	return summary, nil
