policy: move_after may be as short as 100 ms

The random schedules of the coordinate duty use such values to provoke many moves; the stricter validation refused them, so that no schedule was served.

--- a/internal/policy/limits.go
+++ b/internal/policy/limits.go
@@ -50,7 +50,7 @@
 		reason: "below a quarter above the mean a move costs more churn than it gains",
 	},
 	{
-		name: "move_after", unit: UnitDuration, standard: 10 * second, min: second, max: 10 * minute,
+		name: "move_after", unit: UnitDuration, standard: 10 * second, min: second / 10, max: 10 * minute,
 		field:  func(c *Control) any { return &c.MoveAfter },
 		reason: "a shorter excess is usually a burst that ends by itself",
 	},
