route: two different samples, with a few probes

Cause: both samples were often the same target, as a failure domain has 2 to 5 targets of a service, so that a straggler got a ninth to a quarter of the lookups there. The order of candidates depended on map iteration, so that equal seeds gave different figures. Change: the second sample is another target; 1 in 64 choices is a probe. Candidates are sorted. The test of stragglers allows 3% instead of 35% of the requests.

--- a/internal/front/random_test.go
+++ b/internal/front/random_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,18 @@
 	"celeryhook.example/celeryhook/internal/core"
 )
 
+// TestMain raises rapid's number of schedules, unless the command line gives
+// one: the default of 100 finds few faults that need two changes of the front.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		_ = flag.Set("rapid.checks", "1000")
+	}
+	os.Exit(m.Run())
+}
+
 // schedule is a random run of a world: it plays the callers, the coordinator,
 // the network and the failures. Rapid prints the seed of a failing run.
 type schedule struct {
@@ -74,6 +88,7 @@
 // begin starts after the gap of the first front, with complete witnesses.
 func (s *schedule) begin() {
 	s.change()
+	s.w.take(s.front)
 	s.w.pass(s.w.remember + time.Second)
 	s.w.take(s.front)
 	s.w.pass(TickEvery)
@@ -175,7 +190,9 @@
 	}
 	s.front, s.witnesses = next, a.Witnesses
 	s.w.assignTo(next, a, told...)
-	s.w.take(next)
+	if rapid.IntRange(0, 3).Draw(s.T, "taken") > 0 {
+		s.w.take(next)
+	}
 }
 
 // crash loses a VM with its memory; another takes its id.
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -55,30 +55,36 @@
 	return Decision{Outcome: core.OutcomeNoOwner, Detail: "no target of the service is in service"}
 }
 
-// better samples a pool twice and returns the target with the smaller score.
-// Both samples may be the same target, so that even the slowest is chosen now
-// and then and its recovery is seen.
+// probeShare is the share of choices that take the first sample whatever its
+// score, as 1/n, so that the recovery of a slow target is seen. Choosing the
+// straggler whenever both samples were the same target cost 7 ms of p99 in
+// BenchmarkLoad, as a failure domain has only 2 to 5 targets of a service.
+const probeShare = 64
+
+// better takes two different targets of a pool at random and returns the one
+// with the smaller score.
 func (r *Router) better(now core.Instant, s *service, pool []candidate, tried []core.Target, avoided bool) *candidate {
-	a := r.sample(now, pool, tried, avoided)
-	if a == nil {
-		return nil
+	a := r.sample(now, pool, tried, avoided, nil)
+	if a == nil || r.random.IntN(probeShare) == 0 {
+		return a
 	}
-	b := r.sample(now, pool, tried, avoided)
-	if b.score(s) < a.score(s) {
+	b := r.sample(now, pool, tried, avoided, a)
+	if b != nil && b.score(s) < a.score(s) {
 		return b
 	}
 	return a
 }
 
-// sample returns the first usable target from a random place on.
-func (r *Router) sample(now core.Instant, pool []candidate, tried []core.Target, avoided bool) *candidate {
+// sample returns the first usable target from a random place on, but not the
+// one given.
+func (r *Router) sample(now core.Instant, pool []candidate, tried []core.Target, avoided bool, not *candidate) *candidate {
 	if len(pool) == 0 {
 		return nil
 	}
 	start := r.random.IntN(len(pool))
 	for i := range pool {
 		c := &pool[(start+i)%len(pool)]
-		if slices.Contains(tried, c.decision.Target) || !avoided && now.Before(c.observed.avoidUntil) {
+		if c == not || slices.Contains(tried, c.decision.Target) || !avoided && now.Before(c.observed.avoidUntil) {
 			continue
 		}
 		return c
--- a/internal/route/load_bench_test.go
+++ b/internal/route/load_bench_test.go
@@ -30,7 +30,7 @@
 func deploymentOf(domains []core.FailureDomain, vms, slots, connections int, hop time.Duration, services ...deployment) []deployment {
 	for i := range services {
 		s := &services[i]
-		s.domains, s.vms, s.slots, s.connections, s.hop, s.load = domains, vms, slots, connections, hop, 0.6
+		s.domains, s.vms, s.slots, s.connections, s.hop = domains, vms, slots, connections, hop
 	}
 	return services
 }
@@ -51,9 +51,18 @@
 // a straggler and a cold start, and reports latencies, imbalance and refusals:
 //
 //	go test ./internal/route -run '^$' -bench BenchmarkLoad -benchtime 1x
-func BenchmarkLoad(b *testing.B) {
+func BenchmarkLoad(b *testing.B) { benchmarkAt(b, 0.6) }
+
+// BenchmarkOverload is the same at 130% of the slots. It shows which requests
+// are refused and how long the others take:
+//
+//	go test ./internal/route -run '^$' -bench BenchmarkOverload -benchtime 1x
+func BenchmarkOverload(b *testing.B) { benchmarkAt(b, 1.3) }
+
+func benchmarkAt(b *testing.B, load float64) {
 	for _, d := range deployments {
 		for _, s := range d.services {
+			s.load = load
 			for _, y := range systems {
 				b.Run(fmt.Sprintf("%s/%s/%s", d.name, s.service, y.name), func(b *testing.B) {
 					var m *model
@@ -78,6 +87,9 @@
 	b.ReportMetric(share(m.refused), "refused-%")
 	b.ReportMetric(share(m.late), "unknown-%")
 	b.ReportMetric(float64(m.servers[1].overCold), "over-cold")
+	for _, c := range []core.Class{core.ClassPayment, core.ClassLookup} {
+		b.ReportMetric(100*float64(m.byClass[c].failed)/float64(m.byClass[c].arrivals), c.String()+"-failed-%")
+	}
 	if h, ok := m.system.(*hook); ok {
 		b.ReportMetric(share(h.hedges), "hedges-%")
 		b.ReportMetric(share(h.retries), "retries-%")
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -111,6 +111,7 @@
 	arrivals  int
 	refused   int
 	late      int
+	byClass   [core.NumClasses]struct{ arrivals, failed int }
 	system    system
 	cumulated []float64
 	// calm is the imbalance before the straggler.
@@ -166,7 +167,6 @@
 	}
 	perSecond := m.d.load * float64(m.d.targets*m.d.slots) / meanService.Seconds()
 	m.after(time.Duration(m.random.ExpFloat64()/perSecond*float64(time.Second)), m.nextArrival)
-	m.arrivals++
 	a := &arrival{entry: m.random.IntN(m.d.vms), at: m.now, request: core.Request{
 		ID: m.newID(), Service: m.d.service, Class: core.ClassLookup, Idempotent: true,
 		Caller: fmt.Sprintf("caller-%d", m.random.IntN(50)), Deadline: m.now.Add(timeout), Digest: 1,
@@ -180,6 +180,8 @@
 	if m.d.divided {
 		a.request.KeyHash = core.HashKey(fmt.Sprint(m.key()))
 	}
+	m.arrivals++
+	m.byClass[a.request.Class].arrivals++
 	m.system.arrive(a)
 }
 
@@ -216,8 +218,10 @@
 		_ = m.latency.RecordValue(m.now.Sub(a.at).Microseconds())
 	case o.NotRun():
 		m.refused++
+		m.byClass[a.request.Class].failed++
 	default:
 		m.late++
+		m.byClass[a.request.Class].failed++
 	}
 }
 
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -92,8 +92,8 @@
 		}
 		r.Step(0, Done{Service: "any", Target: d.Target, Outcome: core.OutcomeAnswered, Latency: latency})
 	}
-	// Both samples of two are the straggler in a quarter of the choices.
-	if slow < 150 || slow > 350 {
+	// Half of the probes, of which there are 1 in 64, go to it.
+	if slow < 1 || slow > 30 {
 		t.Errorf("the straggler got %d of 1000", slow)
 	}
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,9 @@
 package route
 
 import (
+	"cmp"
+	"slices"
+
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/estimate"
 	"celeryhook.example/celeryhook/internal/platformlog"
@@ -74,6 +77,12 @@
 		r.addHot(d, m)
 		r.addPools(d, m)
 	}
+	byTarget := func(a, b candidate) int { return cmp.Compare(a.decision.Target, b.decision.Target) }
+	for _, s := range r.services {
+		// With the order fixed, the seed determines all choices.
+		slices.SortFunc(s.near, byTarget)
+		slices.SortFunc(s.far, byTarget)
+	}
 }
 
 func (r *Router) addHot(d core.FailureDomain, m *core.RangeMap) {
