--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -31,7 +31,7 @@
 	warmStep = 8
 	runFor   = 30 * time.Second
 	numKeys  = 100_000
-	keySkew  = 1.02 // of the Zipf distribution; the hottest key has about 8%
+	keySkew  = 1.02 // of the Zipf distribution; the hottest key has about 9%
 )
 
 // deployment is one service of a deployment.
