--- a/internal/app/emit_front.go
+++ b/internal/app/emit_front.go
@@ -9,6 +9,14 @@
 
 func (p *Process) emitFront(ctx context.Context, o front.Output) {
 	switch o := o.(type) {
+	case front.Remember:
+		p.submitStore(ctx, o)
+	case front.Recall:
+		p.submitRecall(ctx, o)
+	case front.Told:
+		o.To <- o.Memory
+	case front.Report:
+		p.loadMeasured(ctx, o.Load)
 	case front.Answer:
 		o.To <- o.Decision
 	case front.Drained:
--- a/internal/app/emit_grant.go
+++ b/internal/app/emit_grant.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// TargetLoad takes what a front measured of a target; it goes to the holder
+// loadMeasured takes what a front measured of a target; it goes to the holder
 // with the next report.
-func (p *Process) TargetLoad(ctx context.Context, load core.TargetLoad) {
+func (p *Process) loadMeasured(ctx context.Context, load core.TargetLoad) {
 	_ = p.grants.Put(ctx, grant.Measured{Load: load})
 }
--- a/internal/app/module.go
+++ b/internal/app/module.go
@@ -27,8 +27,10 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			duty.NewClock,
+			newDialer,
 			newTracer,
 			newPlatform,
+			observe.NewMetrics,
 			NewProcess,
 		),
 		fx.Invoke(registerProcess),
@@ -44,12 +46,12 @@
 	return tracer, nil
 }
 
-func newPlatform(s settings.Entry) platformlog.Log {
-	return platformlog.NewHTTPLog(s.Platform, &http.Client{Transport: newTransport()})
+func newPlatform(s settings.Entry, d Dialer) platformlog.Log {
+	return platformlog.NewHTTPLog(s.Platform, &http.Client{Transport: newTransport(d)})
 }
 
 func registerProcess(lc fx.Lifecycle, p *Process) {
-	var servers []*http.Server
+	var running servers
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			s := &p.settings
@@ -58,24 +60,13 @@
 				return err
 			}
 			p.startDuties()
-			handlers := []http.Handler{p.acceptor, p.peerHandler(), p.operatorHandler()}
-			for i, l := range open {
-				server := newServer(handlers[i])
-				servers = append(servers, server)
-				go p.serve(server, l)
-			}
+			running = p.startServers(open)
 			p.log.Info("entry VM started", "vm", s.VM, "failure_domain", s.FailureDomain,
 				"callers", s.CallersAddress, "peers", s.PeersAddress, "operators", s.OperatorsAddress)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			for _, server := range servers {
-				if err := server.Shutdown(ctx); err != nil {
-					p.log.Error(err, "listener did not stop in time")
-				}
-			}
-			p.stopDuties()
-			p.log.Info("entry VM stopped", "vm", p.settings.VM)
+			p.stop(ctx, running)
 			return nil
 		},
 	})
--- a/internal/coordinate/domainpromise.go
+++ b/internal/coordinate/domainpromise.go
@@ -105,11 +105,12 @@
 	}
 	c.foreign[m.FailureDomain] = m
 	for id, r := range m.Ranges {
-		if r.Target == "" {
+		if r.Target == "" || r.State == core.RangeMoving {
+			// The token of a moving range's target is not one that it was served under.
 			continue
 		}
 		t := m.Targets[r.Target]
-		c.memories[id] = memory{at: now, vms: append([]core.VM{t.Front}, t.Witnesses...)}
+		c.memories[id] = memory{at: now, vms: append([]core.VM{t.Front}, t.Witnesses...), since: t.Token}
 	}
 }
 
@@ -117,13 +118,15 @@
 type memory struct {
 	at  core.Instant
 	vms []core.VM
+	// since is the least token of a complete memory.
+	since core.Token
 }
 
 // recall returns the VMs that may hold a range's request ids from another
-// failure domain.
-func (c *Coordinator) recall(now core.Instant, id core.RangeID, remember time.Duration) []core.VM {
+// failure domain, and the least token of a complete memory there.
+func (c *Coordinator) recall(now core.Instant, id core.RangeID, remember time.Duration) ([]core.VM, core.Token) {
 	if m, ok := c.memories[id]; ok && now.Sub(m.at) < remember {
-		return m.vms
+		return m.vms, m.since
 	}
-	return nil
+	return nil, core.Token{}
 }
--- a/internal/coordinate/fronts.go
+++ b/internal/coordinate/fronts.go
@@ -89,7 +89,13 @@
 			}
 		}
 		x.previous = x.previous[max(0, len(x.previous)-maxPrevious):]
-		x.previousAt = now
+		x.previousAt, x.previousSince = now, x.token
+		for _, r := range c.holder.ranges {
+			if r.target == x.id {
+				// The old front may have sent requests for the range since it came.
+				r.memoryAt, r.memorySince, r.firstFor = nil, core.Token{}, 0
+			}
+		}
 		x.quietAt = max(x.quietAt, now.Add(core.Lengthen(core.GrantLease)))
 	}
 	x.front = vm
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -62,6 +62,10 @@
 	x.incarnation = reply.Incarnation
 	x.ends = now.Add(core.Lengthen(core.GrantLease))
 	x.quietAt = x.ends
+	if x.token.Less(reply.Granted) {
+		// The earlier holder gave out a map that this one has not heard.
+		x.token = reply.Granted
+	}
 	if reply.Held {
 		x.front = reply.Front
 		for _, id := range reply.Ranges {
@@ -71,12 +75,13 @@
 				h.ranges[id] = r
 			}
 			r.target, r.assumed, r.moving, r.held = x.id, "", false, true
+			r.served = reply.Granted
 		}
 	}
 	for _, r := range h.ranges {
 		if r.assumed == x.id {
 			r.assumed = ""
-			r.memoryAt, r.movedAt = x.memory(), now
+			r.memoryAt, r.memorySince, r.movedAt = x.memory(), x.token, now
 		}
 	}
 }
@@ -197,7 +202,7 @@
 
 func (r *rangeState) free(now core.Instant, x *targetState) {
 	r.target, r.moving = "", false
-	r.memoryAt, r.movedAt = x.memory(), now
+	r.memoryAt, r.memorySince, r.movedAt, r.firstFor = x.memory(), r.served, now, 0
 }
 
 // stopped reports whether no VM extends the grant of a target any more. The
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -137,6 +137,7 @@
 	deferred    []func()
 	incarnation uint64
 	token       core.Token
+	granted     core.Token
 	front       core.VM
 	ranges      []core.RangeID
 	leaseEnd    grant.TargetClock
@@ -169,7 +170,7 @@
 		t.w.check(t, o)
 	}
 	r := grant.OrderReply{
-		Accepted: reason == "", Reason: reason, Token: t.token, Held: t.held(), LeaseEnd: t.leaseEnd,
+		Accepted: reason == "", Reason: reason, Token: t.token, Granted: t.granted, Held: t.held(), LeaseEnd: t.leaseEnd,
 		Clock: t.clock(), Incarnation: t.incarnation, Draining: t.draining,
 	}
 	if r.Held {
@@ -199,7 +200,7 @@
 		if order < 0 || order == 0 && t.front != "" && t.front != o.Front {
 			return "older token"
 		}
-		t.token, t.front, t.leaseEnd = o.Token, o.Front, o.LeaseEnd
+		t.token, t.granted, t.front, t.leaseEnd = o.Token, o.Token, o.Front, o.LeaseEnd
 		t.ranges = append([]core.RangeID(nil), o.Ranges...)
 	case grant.OrderRenew:
 		if order != 0 || !t.held() || t.front != o.Front {
@@ -320,9 +321,10 @@
 	fmt.Fprintf(&b, "[deployment]\nname = sim\nfailure_domains = %s\n", strings.Join(p.domains, ","))
 	fmt.Fprintf(&b, "[control]\ncandidates = %d\nmove_after = %s\nmoves_in_flight = 2\n", p.candidates, p.moveAfter)
 	fmt.Fprintf(&b, "[service s]\ndivision = key\nranges = %d\nisolation = %s\n", p.ranges, p.isolation)
-	for _, t := range p.targets {
+	b.WriteString("[route get]\npath = /s/{k}\nservice = s\nkey = path:k\n")
+	for i, t := range p.targets {
 		id, domain, _ := strings.Cut(t, "@")
-		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:1\nslots = 4\nleaving = %t\nchecks_grants = %t\n", id, domain, p.leaving[id], !p.unchecked[id])
+		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:%d\nslots = 4\nleaving = %t\nchecks_grants = %t\n", id, domain, i+1, p.leaving[id], !p.unchecked[id])
 	}
 	return b.String()
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,7 @@
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/witness"
 )
 
 // Handlers are the parts of the process that the server passes messages to.
@@ -27,6 +28,10 @@
 	// Newer returns what this VM holds that is newer than the versions given,
 	// with the folded state as JSON.
 	Newer func(context.Context, uint64, map[core.FailureDomain]core.Token) ([]byte, []*core.RangeMap, error)
+	// Remember stores request ids of another VM's front.
+	Remember func(context.Context, witness.Batch) (witness.Stored, error)
+	// Recall returns what this VM remembers as a front and as a witness.
+	Recall func(context.Context, witness.Question) (witness.Memory, error)
 	// Asked decides on a promise.
 	Asked func(context.Context, coordinate.Ask) (coordinate.Answer, error)
 	// Reported takes a report of a VM's fronts.
@@ -90,6 +95,7 @@
 		Request: core.Request{
 			ID:         core.RequestID(r.GetRequestId()),
 			Attempt:    r.GetAttempt(),
+			Flow:       r.GetFlow(),
 			Service:    core.Service(r.GetService()),
 			Branch:     core.Branch(r.GetBranch()),
 			Class:      class,
@@ -125,17 +131,3 @@
 		Target:       string(a.Target),
 	}
 }
-
-func unimplemented(method string) error {
-	return twirp.NewError(twirp.Unimplemented, method+" is not served by this version")
-}
-
-// Remember implements peerpb.Peer.
-func (s *Server) Remember(context.Context, *peerpb.RememberRequest) (*peerpb.RememberReply, error) {
-	return nil, unimplemented("Remember")
-}
-
-// Recall implements peerpb.Peer.
-func (s *Server) Recall(context.Context, *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
-	return nil, unimplemented("Recall")
-}
