standin/target: an order for another incarnation is refused

The keeper sends the target's incarnation with each take and renew; the stand-in now checks it, as the steps' own test target does.

--- a/standin/target/order.go
+++ b/standin/target/order.go
@@ -41,6 +41,11 @@
 	if o.Kind != grant.OrderInspect && clock > o.Deadline {
 		return "deadline passed"
 	}
+	// After a restart the clock begins at 0, so that a lease end for the earlier
+	// incarnation would be far in the future.
+	if o.Incarnation != 0 && o.Incarnation != m.options.Incarnation {
+		return "order is for another incarnation"
+	}
 	order := o.Token.Compare(m.token)
 	switch o.Kind {
 	case grant.OrderInspect:
