--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -76,6 +76,11 @@
 			}
 			r.target, r.assumed, r.moving, r.held = x.id, "", false, true
 			r.served = reply.Granted
+			if len(r.memoryAt) == 0 && len(x.previous) == 0 {
+				// Without it a front whose grant the fence ended could not tell
+				// that nobody else had the range meanwhile.
+				r.memoryAt, r.memorySince, r.movedAt = x.memory(), reply.Granted, now
+			}
 		}
 	}
 	for _, r := range h.ranges {
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -77,8 +77,18 @@
 	w.http.CloseIdleConnections()
 }
 
-// saveStatus keeps what the VMs say of themselves for the logs.
+// saveStatus keeps what the VMs say of themselves, and what callers were told,
+// for the logs.
 func (w *world) saveStatus() {
+	var told strings.Builder
+	w.mu.Lock()
+	for _, a := range w.answers {
+		if a.outcome != outcomeAnswered {
+			fmt.Fprintf(&told, "%v %s %s %s through %s: %s: %s\n", a.at, a.request.method, a.request.path, a.request.id, a.vm, a.outcome, a.detail)
+		}
+	}
+	w.mu.Unlock()
+	_ = os.WriteFile(filepath.Join(w.dir, "log", "answers"), []byte(told.String()), 0o644)
 	for _, vm := range w.usable() {
 		var status json.RawMessage
 		if err := w.call(http.MethodGet, "http://"+vm.operators+"/status", nil, &status); err != nil {
