--- a/internal/platformlog/replay.go
+++ b/internal/platformlog/replay.go
@@ -134,6 +134,8 @@
 		err  error
 		name string
 	}{
+		{ErrTooLarge, "too_large"},
+		{ErrRecord, "undecodable"},
 		{ErrRepeat, "repeat"},
 		{ErrStale, "stale"},
 		{ErrAuthor, "author"},
@@ -145,5 +147,5 @@
 			return r.name
 		}
 	}
-	return "undecodable"
+	return "other"
 }
