--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -11,29 +11,19 @@
 	"gopkg.in/ini.v1"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/fault"
 )
 
 // Fault is one reason for which a document is rejected.
-type Fault struct {
-	Section string
-	Key     string
-	Reason  string
-}
-
-func (f Fault) String() string {
-	if f.Key == "" {
-		return fmt.Sprintf("[%s]: %s", f.Section, f.Reason)
-	}
-	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Reason)
-}
+type Fault = fault.Fault
 
 // Faults are all reasons for which a document is rejected.
 type Faults []Fault
 
 func (f Faults) Error() string {
 	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fault.String()
+	for i, one := range f {
+		lines[i] = one.String()
 	}
 	return "policy: " + strings.Join(lines, "; ")
 }
--- a/internal/settings/fault.go
+++ b/internal/settings/fault.go
@@ -5,24 +5,15 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"celeryhook.example/celeryhook/internal/fault"
 )
 
 // ErrSyntax wraps the error of a file that can't be read as INI.
 var ErrSyntax = errors.New("settings: file isn't valid INI")
 
 // Fault is one reason for which settings are rejected.
-type Fault struct {
-	Section string
-	Key     string
-	Reason  string
-}
-
-func (f Fault) String() string {
-	if f.Key == "" {
-		return fmt.Sprintf("[%s]: %s", f.Section, f.Reason)
-	}
-	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Reason)
-}
+type Fault = fault.Fault
 
 // Faults are all reasons for which settings are rejected, sorted by section
 // and key.
@@ -30,8 +21,8 @@
 
 func (f Faults) Error() string {
 	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = "\n  " + fault.String()
+	for i, one := range f {
+		lines[i] = "\n  " + one.String()
 	}
 	return fmt.Sprintf("settings: %d faults:%s", len(f), strings.Join(lines, ""))
 }
