membership: VMs that are neither heard nor listed are forgotten

VMs that were replaced under new ids got heartbeats for ever. Random schedules now also delay 5% of the messages by up to 3 s.

--- a/internal/coordinate/random_test.go
+++ b/internal/coordinate/random_test.go
@@ -123,7 +123,7 @@
 	case 7:
 		return []string{one([]string{"log down", "log up", "log slow 400ms"})}
 	case 8:
-		return []string{one([]string{"lose 0.1", "lose 0", "leave t1", "stay t1"})}
+		return []string{one([]string{"lose 0.1", "lose 0", "stall 0.05", "stall 0", "leave t1", "stay t1"})}
 	case 9:
 		return []string{"return " + one(targets), "return " + one(targets)}
 	case 10:
@@ -152,7 +152,7 @@
 func (w *world) recover(vms, targets []string) error {
 	w.note("> end of faults")
 	clear(w.cuts)
-	w.lose = 0
+	w.lose, w.stall = 0, 0
 	w.log.down, w.log.slow = false, 0
 	for _, id := range vms {
 		if v := w.vms[core.VM(id)]; !v.alive {
--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -47,7 +47,7 @@
 //	policy ranges=12 candidates=2 isolation=keep move_after=10s
 //	vm ID DOMAIN ... | target ID DOMAIN ... | start | run DURATION
 //	kill|freeze|thaw|return ID ... | cut|heal ID ID | rate ID FACTOR
-//	log up|down|slow DURATION | lose SHARE | leavevm VM
+//	log up|down|slow DURATION | lose SHARE | stall SHARE | leavevm VM
 //	demand KEYHASH REQUESTS_PER_SECOND (a target can run 100)
 //	leave|stay|remove|drain TARGET | unchecked TARGET (before start) | domain NAME in|out|lost
 //	expect served [within DURATION] | expect unserved [N]
@@ -94,6 +94,8 @@
 		v.do(func() { v.stepMembers(membership.Leave{}) })
 	case "lose":
 		w.lose, err = strconv.ParseFloat(f[1], 64)
+	case "stall":
+		w.stall, err = strconv.ParseFloat(f[1], 64)
 	case "leave", "stay":
 		w.document.leaving[f[1]] = f[0] == "leave"
 		w.submit()
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -36,6 +36,8 @@
 	demand map[uint64]float64
 	// lose is the share of answers that are lost.
 	lose float64
+	// stall is the share of messages that are under way for up to 3 s.
+	stall float64
 }
 
 type event struct {
@@ -90,6 +92,9 @@
 func (w *world) cut(a, b string) bool { return w.cuts[[2]string{a, b}] || w.cuts[[2]string{b, a}] }
 
 func (w *world) latency() time.Duration {
+	if w.stall > 0 && w.rand.Float64() < w.stall {
+		return time.Duration(w.rand.Int64N(int64(3 * time.Second)))
+	}
 	return 500*time.Microsecond + time.Duration(w.rand.Int64N(int64(2*time.Millisecond)))
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,10 @@
 // farInterval is the pause between heartbeats to VMs of other failure domains.
 const farInterval = 500 * time.Millisecond
 
+// forgetAfter is how long a VM that is neither heard nor listed is still sent
+// heartbeats. At the target size 850 VMs a day are replaced, many under new ids.
+const forgetAfter = 10 * time.Minute
+
 // Message is what membership takes.
 type Message interface{ isMembershipMessage() }
 
@@ -130,6 +134,8 @@
 	live   bool
 	sentAt core.Instant
 	sent   bool
+	// known is when the VM was last alive or on the platform's list.
+	known core.Instant
 }
 
 // New returns the membership of a VM that knows some others' addresses.
@@ -152,11 +158,7 @@
 	case Versions:
 		s.self.LogOffset, s.self.Maps = m.LogOffset, m.Maps
 	case Listed:
-		for _, info := range m.VMs {
-			if s.members[info.VM] == nil && info.VM != s.self.VM {
-				s.members[info.VM] = &member{info: info}
-			}
-		}
+		s.stepListed(now, m)
 	case Leave:
 		s.self.Leaving = true
 		s.dirty = true
@@ -194,6 +196,27 @@
 	return out
 }
 
+// stepListed adds the VMs that the platform lists and forgets those that it has
+// not listed, and that have not been heard, for long.
+func (s *Membership) stepListed(now core.Instant, m Listed) {
+	listed := make(map[core.VM]bool, len(m.VMs))
+	for _, info := range m.VMs {
+		listed[info.VM] = true
+		if s.members[info.VM] == nil && info.VM != s.self.VM {
+			s.members[info.VM] = &member{info: info, known: now}
+		}
+	}
+	for id, other := range s.members {
+		if listed[id] || other.live {
+			other.known = now
+		}
+		if now.Sub(other.known) > forgetAfter {
+			delete(s.members, id)
+			s.dirty = true
+		}
+	}
+}
+
 // olderThan reports whether the other VM holds something newer.
 func (i Info) olderThan(other Info) bool {
 	if i.LogOffset < other.LogOffset {
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// TestReplacedVMsAreForgotten guards against heartbeats to ever more VMs that
+// were replaced under new ids, and against forgetting one that is only silent.
+func TestReplacedVMsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	m := New(Info{VM: "a", FailureDomain: "d"}, nil)
+	m.Step(0, Listed{VMs: []Info{{VM: "old", FailureDomain: "d"}, {VM: "silent", FailureDomain: "d"}}})
+	var view View
+	for now := time.Second; now < forgetAfter+2*time.Second; now += time.Second {
+		for _, o := range m.Step(core.Instant(now), Listed{VMs: []Info{{VM: "silent", FailureDomain: "d"}}}) {
+			if changed, ok := o.(Changed); ok {
+				view = changed.View
+			}
+		}
+	}
+	_, old := view.Members["old"]
+	_, silent := view.Members["silent"]
+	is.True(!old)
+	is.True(silent)
+}
+
+// TestLiveness guards the heartbeat timeout: a VM counts as live until 700 ms
+// after it was last heard, and as replaced by its incarnation.
+func TestLiveness(t *testing.T) {
+	is := is.New(t)
+	m := New(Info{VM: "a", FailureDomain: "d"}, nil)
+	live := func(at time.Duration, msg Message) (bool, bool) {
+		for _, o := range m.Step(core.Instant(at), msg) {
+			if changed, ok := o.(Changed); ok {
+				return changed.View.Members["b"].Live, true
+			}
+		}
+		return false, false
+	}
+	up, changed := live(0, Heard{Info: Info{VM: "b", FailureDomain: "d", Incarnation: 1}})
+	is.True(up && changed)
+	_, changed = live(700*time.Millisecond, Tick{})
+	is.True(!changed)
+	up, changed = live(701*time.Millisecond, Tick{})
+	is.True(!up && changed)
+	up, changed = live(800*time.Millisecond, Heard{Info: Info{VM: "b", FailureDomain: "d", Incarnation: 2}})
+	is.True(up && changed)
+}
