--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -28,7 +28,7 @@
 		p.acceptor.Apply(o.Policy)
 		if o.Own != nil {
 			grants, fronts := assignments(p.settings.VM, p.incarnation, o.Policy, o.Own)
-			_ = p.grants.Put(ctx, grant.Assigned{Targets: grants})
+			_ = p.grants.Put(ctx, grant.Assigned{Holder: o.Own.Holder, Version: o.Own.Version, Targets: grants})
 			remember := o.Policy.Control.Remember
 			// An assignment isn't repeated, so it waits for room.
 			_ = p.fronts.Wait(ctx, front.Assigned{Targets: fronts, Remember: remember})
@@ -46,7 +46,10 @@
 		if !ok || a.Front != vm {
 			continue
 		}
-		grants[id] = grant.Assignment{Address: t.Address, Token: a.Token}
+		grants[id] = grant.Assignment{
+			Address: t.Address, Token: a.Token, Incarnation: a.Incarnation,
+			Yield: p.Services[t.Service].Isolation == policy.IsolationYield,
+		}
 		fronts[id] = front.Assignment{
 			Service: t.Service, Slots: t.Slots, Limits: p.Services[t.Service].Limits,
 			Token: a.Token, Leaving: a.Leaving || t.Leaving,
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,6 +18,7 @@
 	"celeryhook.example/celeryhook/internal/front"
 	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/membership"
+	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/peer"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/ring"
@@ -45,12 +47,13 @@
 // Process holds the rings, pools and edges of an entry VM.
 type Process struct {
 	settings settings.Entry
+	clock    duty.Clock
+	log      logr.Logger
+	tracer   trace.Tracer
+	metrics  *observe.Metrics
+	platform platformlog.Log
 	// incarnation tells this process from earlier ones under the VM's id.
 	incarnation uint64
-	clock       duty.Clock
-	log         logr.Logger
-	tracer      trace.Tracer
-	platform    platformlog.Log
 
 	reader      *ring.Ring[platformlog.Message]
 	members     *ring.Ring[membership.Message]
@@ -72,19 +75,22 @@
 	entry    *forward.Entry
 	acceptor *accept.Acceptor
 
-	running sync.WaitGroup
-	cancel  context.CancelFunc
+	// stopping is set once the process is to end; it is no longer ready then.
+	stopping atomic.Bool
+	running  sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // NewProcess returns a process that isn't running yet.
-func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, platform platformlog.Log) *Process {
+func NewProcess(s settings.Entry, clock duty.Clock, log logr.Logger, tracer trace.Tracer, metrics *observe.Metrics, platform platformlog.Log, dialer Dialer) *Process {
 	p := &Process{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
 		clock:       clock,
 		log:         log,
-		tracer:      tracer,
+		tracer:      observe.CountHops(tracer, metrics),
+		metrics:     metrics,
 		platform:    platform,
+		incarnation: uint64(time.Now().UnixNano()),
 		reader:      ring.New[platformlog.Message]("platformlog", controlRing, ring.Block),
 		members:     ring.New[membership.Message]("membership", controlRing, ring.DropOldest),
 		coordinator: ring.New[coordinate.Message]("coordinate", controlRing, ring.Block),
@@ -97,17 +103,32 @@
 		targetPool:  duty.NewPool("target-io", 32, controlRing),
 		memoryPool:  duty.NewPool("memory-io", 32, controlRing),
 	}
-	p.peers = peer.NewClient(&http.Client{Transport: newTransport()}, clock, tracer)
-	p.targets = target.NewClient(s.VM, &http.Client{Transport: newTransport()})
-	p.local = forward.NewLocal(clock, p.fronts, p.targets, tracer)
-	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, tracer)
-	p.acceptor = accept.New(clock, p.entry)
+	p.peers = peer.NewClient(&http.Client{Transport: newTransport(dialer)}, clock, p.tracer)
+	p.targets = target.NewClient(s.VM, &http.Client{Transport: observe.TraceTransport(newTransport(dialer))})
+	p.local = forward.NewLocal(clock, p.fronts, p.targets, p.tracer)
+	p.entry = forward.NewEntry(s.VM, clock, p.routes, p.local, p.peers, p.tracer)
+	p.acceptor = accept.New(clock, p.entry, metrics, log)
+	p.showRings()
 	return p
 }
 
-func newTransport() *http.Transport {
+// Settings returns the settings; once the process runs, with the addresses
+// that it listens on.
+func (p *Process) Settings() settings.Entry { return p.settings }
+
+func (p *Process) showRings() {
+	for _, r := range []observe.Ring{p.reader, p.members, p.coordinator, p.grants, p.fronts, p.witnesses, p.routes} {
+		p.metrics.Ring(r)
+	}
+	for _, pool := range []*duty.Pool{p.logPool, p.peerPool, p.targetPool, p.memoryPool} {
+		p.metrics.Pool(pool.Ring())
+	}
+}
+
+func newTransport(d Dialer) *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
+	t.DialContext = d.DialContext
 	t.MaxIdleConnsPerHost = 128
 	t.MaxIdleConns = 0
 	t.DisableCompression = true
@@ -139,13 +160,22 @@
 	p.runPool(ctx, p.peerPool)
 	p.runPool(ctx, p.targetPool)
 	p.runPool(ctx, p.memoryPool)
-	p.run(ctx, duty.New("platformlog", p.clock, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("membership", p.clock, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("coordinate", p.clock, p.coordinator, coordinate.New(s.VM, s.FailureDomain), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("grant", p.clock, p.grants, grant.NewKeeper(s.VM), p.emitGrant, grant.Message(grant.Tick{}), tickInterval).Run)
-	p.run(ctx, duty.New("front", p.clock, p.fronts, front.New(s.VM), p.emitFront, front.Message(front.Tick{}), front.TickEvery).Run)
-	p.run(ctx, duty.New("witness", p.clock, p.witnesses, witness.NewKeeper(), p.emitWitness, witness.Message(witness.Tick{}), time.Second).Run)
-	p.run(ctx, duty.New("route", p.clock, p.routes, route.New(s.FailureDomain, rand.Uint64()), p.emitRoute, route.Message(route.Tick{}), tickInterval).Run)
+	start(ctx, p, p.reader, platformlog.NewReader(), p.emitReader, platformlog.Message(platformlog.Tick{}), p.countReaderMessage, p.countReaderOutput)
+	start(ctx, p, p.members, membership.New(p.self(), p.seeds()), p.emitMembership, membership.Message(membership.Tick{}), nil, nil)
+	start(ctx, p, p.coordinator, coordinate.New(s.VM, s.FailureDomain, p.incarnation), p.emitCoordinator, coordinate.Message(coordinate.Tick{}), nil, nil)
+	start(ctx, p, p.grants, grant.NewKeeper(s.VM, s.FailureDomain, p.incarnation), p.emitGrant, grant.Message(grant.Tick{}), p.countGrantMessage, nil)
+	start(ctx, p, p.fronts, front.New(s.VM), p.emitFront, front.Message(front.Tick{}), p.countFrontMessage, p.countFrontOutput)
+	start(ctx, p, p.witnesses, witness.NewKeeper(), p.emitWitness, witness.Message(witness.Tick{}), nil, nil)
+	start(ctx, p, p.routes, route.New(s.FailureDomain, rand.Uint64()), p.emitRoute, route.Message(route.Tick{}), p.countRouteMessage, p.countRouteOutput)
+}
+
+// start runs one duty on its own goroutine. The hooks count messages and
+// outputs beyond their number by type and may be nil.
+func start[M, O any](ctx context.Context, p *Process, in *ring.Ring[M], step duty.Step[M, O],
+	emit func(context.Context, O), tick M, onMessage func(M), onOutput func(O),
+) {
+	counted := observe.NewStep(p.metrics, in.Name(), step, onMessage, onOutput)
+	p.run(ctx, duty.New(in.Name(), p.clock, in, counted, emit, tick, tickInterval).Run)
 }
 
 // stopDuties ends all goroutines and waits for them.
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -11,24 +11,27 @@
 
 	"github.com/gin-gonic/gin"
 
+	"celeryhook.example/celeryhook/internal/accept"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/route"
+	"celeryhook.example/celeryhook/internal/settings"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
-)
+// internalLimits bound the connections of other VMs and of operators.
+var internalLimits = settings.Callers{
+	HeaderTimeout: 5 * time.Second,
+	ReadTimeout:   30 * time.Second,
+	IdleTimeout:   60 * time.Second,
+	HeaderBytes:   64 << 10,
+}
 
 func listen(addresses ...*string) ([]net.Listener, error) {
 	var out []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", *a)
+		l, err := accept.Listen(*a)
 		if err != nil {
 			for _, open := range out {
 				_ = open.Close()
@@ -42,13 +45,13 @@
 	return out, nil
 }
 
-func newServer(h http.Handler) *http.Server {
+func newServer(h http.Handler, l settings.Callers) *http.Server {
 	return &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		ReadTimeout:       l.ReadTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.HeaderBytes,
 	}
 }
 
@@ -59,6 +62,8 @@
 		Newer:    p.newer,
 		Remember: p.storeForPeer,
 		Recall:   p.recallForPeer,
+		Asked:    p.asked,
+		Reported: p.reported,
 	}, p.local, p.clock, p.tracer)
 	return peerpb.NewPeerServer(server)
 }
@@ -98,18 +103,33 @@
 
 func (p *Process) operatorHandler() http.Handler {
 	e := gin.New()
+	e.Use(gin.CustomRecoveryWithWriter(nil, func(c *gin.Context, v any) {
+		p.metrics.Count("panics", "operators")
+		p.log.Error(fmt.Errorf("app: panic: %v", v), "operators' handler panicked", "path", c.Request.URL.Path)
+		c.String(http.StatusInternalServerError, "an internal error occurred\n")
+	}))
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c *gin.Context) {
-		_, maps, err := p.newer(c.Request.Context(), 0, nil)
-		if err != nil || len(maps) == 0 {
-			c.String(http.StatusServiceUnavailable, "no range map is known yet\n")
-			return
-		}
-		c.String(http.StatusOK, "ready\n")
-	})
+	e.GET("/readyz", p.serveReady)
+	e.GET("/metrics", gin.WrapH(p.metrics))
+	e.GET("/explain", p.serveExplain)
+	e.GET("/status", p.serveStatus)
 	return e
 }
 
+// serveReady tells the balancer whether to send requests to this VM.
+func (p *Process) serveReady(c *gin.Context) {
+	if p.stopping.Load() {
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+		return
+	}
+	_, maps, err := p.newer(c.Request.Context(), 0, nil)
+	if err != nil || len(maps) == 0 {
+		c.String(http.StatusServiceUnavailable, "no range map is known yet\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
 func (p *Process) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error(err, "listener failed", "address", l.Addr().String())
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -46,7 +46,11 @@
 	// from then on is not complete. Zero means that any counts.
 	PreviousSince Token
 	Token         Token
-	Leaving       bool
+	// Incarnation is the target's incarnation for which the assignment is
+	// made. A target that restarts forgets its fence, so a front gives its
+	// grant to no other incarnation.
+	Incarnation uint64
+	Leaving     bool
 }
 
 // RangeAssignment says which target owns a range.
--- a/internal/front/step_test.go
+++ b/internal/front/step_test.go
@@ -89,3 +89,21 @@
 		f.Step(w.now, Finished{Ticket: d.Dispatch.Ticket, Outcome: core.OutcomeAnswered, Latency: time.Millisecond})
 	}
 }
+
+// Guards against a target's count that writes off requests which may still run:
+// what an earlier count has written off doesn't stand for any of a later one.
+func TestCountsOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	var s slots
+	until := core.Instant(time.Second)
+	s.foreign(2, until, 0)
+	s.reported(1, 0)
+	is.Equal(s.used(), 1)
+	s.foreign(2, until, 1) // another front's, after the first have ended
+	s.reported(2, 1)
+	is.Equal(s.used(), 2)
+	is.True(!s.idle(rangeNumber(0)))
+	s.reported(0, 1)
+	is.Equal(s.used(), 0)
+	is.True(s.idle(rangeNumber(0)))
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -59,6 +59,7 @@
 			Token:     tokenToPB(a.Token),
 			Leaving:   a.Leaving,
 
+			Incarnation:   a.Incarnation,
 			PreviousSince: tokenToPB(a.PreviousSince),
 		})
 	}
@@ -92,6 +93,7 @@
 			Token:     tokenFromPB(a.GetToken()),
 			Leaving:   a.GetLeaving(),
 
+			Incarnation:   a.GetIncarnation(),
 			PreviousSince: tokenFromPB(a.GetPreviousSince()),
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,9 +8,11 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"celeryhook.example/celeryhook/internal/coordinate"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/forward"
+	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/membership"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/target"
@@ -30,6 +32,10 @@
 	Remember func(context.Context, witness.Batch) (witness.Stored, error)
 	// Recall returns what this VM remembers as a front and as a witness.
 	Recall func(context.Context, witness.Question) (witness.Memory, error)
+	// Asked decides on a promise.
+	Asked func(context.Context, coordinate.Ask) (coordinate.Answer, error)
+	// Reported takes a report of a VM's fronts.
+	Reported func(context.Context, grant.Report) (grant.ReportAnswer, error)
 }
 
 // Server answers other VMs.
@@ -89,6 +95,7 @@
 		Request: core.Request{
 			ID:         core.RequestID(r.GetRequestId()),
 			Attempt:    r.GetAttempt(),
+			Flow:       r.GetFlow(),
 			Service:    core.Service(r.GetService()),
 			Branch:     core.Branch(r.GetBranch()),
 			Class:      class,
@@ -124,17 +131,3 @@
 		Target:       string(a.Target),
 	}
 }
-
-func unimplemented(method string) error {
-	return twirp.NewError(twirp.Unimplemented, method+" is not served by this version")
-}
-
-// Promise implements peerpb.Peer.
-func (s *Server) Promise(context.Context, *peerpb.PromiseRequest) (*peerpb.PromiseReply, error) {
-	return nil, unimplemented("Promise")
-}
-
-// Report implements peerpb.Peer.
-func (s *Server) Report(context.Context, *peerpb.FrontReport) (*peerpb.ReportReply, error) {
-	return nil, unimplemented("Report")
-}
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -62,6 +62,10 @@
 	Range  core.RangeID
 	Digest uint64
 	State  State
+	// Flow and Attempt are those of the request when it was remembered; Flow is
+	// 0 if records of several flows were merged.
+	Flow    uint64
+	Attempt uint32
 	// Response is nil unless the request is done and its response is kept.
 	Response *Response
 	// Age is how long ago the request was first remembered.
@@ -77,6 +81,13 @@
 // Key returns the key of a record.
 func (r Record) Key() Key { return Key{Service: r.Range.Service, ID: r.ID} }
 
+// ProvenNotRun reports whether a request is a later attempt of the flow that
+// the record was made for: its entry VM has proof that the record's attempt
+// was not run.
+func (r Record) ProvenNotRun(later core.Request) bool {
+	return r.State == StateSent && r.Flow != 0 && r.Flow == later.Flow && r.Attempt < later.Attempt
+}
+
 // Matcher returns a function that reports whether a record of a range may
 // belong to one of the ranges asked for. A hot key was part of a numbered range
 // before and may be again, and not every VM knows which number, so hot and
@@ -131,11 +142,23 @@
 	Since core.Token
 }
 
+// Gap says from when on a front's memory is complete, and for how long it still
+// matters that it isn't complete before.
+type Gap struct {
+	// Age is how long ago the gap ended.
+	Age time.Duration
+	// Left is how long requests from before the gap's end may still be repeated.
+	Left time.Duration
+}
+
 // Memory answers a question for remembered requests.
 type Memory struct {
 	// Complete is true if every request of the ranges that may have run is in
 	// Records or older than the policy's remember time.
-	Complete    bool
+	Complete bool
+	// Gap is set by a front whose memory of the one range asked for is complete
+	// but for requests from before the gap's end.
+	Gap         *Gap
 	Records     []Record
 	RampLimit   int
 	Incarnation uint64
