app: a failed log read reaches the reader after its time is over

Cause: the result of a read that timed out was put on the reader's ring with the context of that read, which had ended; the put then fails at random, and the reader waits for the result without end. A VM whose reads time out once or twice never read the log again (scenario platform-faults: log_fresh false on all three VMs for 30 s).

Change: the result is put with the context of the process. The script log-outage guards against it.

Measured: go test -race, log-outage fails before the change and passes 2 of 2 after it; platform-faults passes.

--- a/internal/app/emit_reader.go
+++ b/internal/app/emit_reader.go
@@ -36,10 +36,11 @@
 
 func (p *Process) readLog(ctx context.Context, r platformlog.Read) {
 	began := p.clock()
-	ctx, cancel := context.WithTimeout(ctx, r.Wait+rpcTimeout)
+	call, cancel := context.WithTimeout(ctx, r.Wait+rpcTimeout)
 	defer cancel()
-	page, err := p.platform.Read(ctx, r.From, r.Limit, r.Wait)
+	page, err := p.platform.Read(call, r.From, r.Limit, r.Wait)
 	if err != nil {
+		// The call's context may have ended; the reader waits for the result.
 		_ = p.reader.Put(ctx, platformlog.ReadFailed{Err: err})
 		return
 	}
