coordinate: a replaced process and a changed witness are changes of a front's memory

Cause (from review): a process that replaces a front under the VM's id took the old process's assignment over, with a memory from before that process; and a witness that was replaced kept a copy that counted as complete under the same token. In both cases a request id could be forgotten and run twice. Change: a map names the front's incarnation and a VM acts on no other's; the holder treats a new incarnation as a change of front; new witnesses get the target a new token; a target names only its last front and witnesses. A policy can't change the ranges or the division of a service in force, since keys would have two owners while grants for the old ranges last.

--- a/internal/app/emit_route.go
+++ b/internal/app/emit_route.go
@@ -43,7 +43,7 @@
 	fronts := make(map[core.Target]front.Assignment)
 	for id, a := range m.Targets {
 		t, ok := p.Targets[id]
-		if !ok || a.Front != vm {
+		if !ok || a.Front != vm || a.FrontIncarnation != incarnation {
 			continue
 		}
 		grants[id] = grant.Assignment{
--- a/internal/coordinate/fronts.go
+++ b/internal/coordinate/fronts.go
@@ -8,18 +8,22 @@
 	"celeryhook.example/celeryhook/internal/core"
 )
 
-const (
-	// frontMovePause separates changes of front that only even out the load.
-	frontMovePause = 2 * time.Second
-	// maxPrevious bounds the earlier fronts that a map names for a target.
-	maxPrevious = 4
-)
+// frontMovePause separates changes of front that only even out the load.
+const frontMovePause = 2 * time.Second
 
 // chooseFronts gives a front to each target whose front is gone.
 func (c *Coordinator) chooseFronts(now core.Instant) {
 	h := c.holder
 	for _, x := range h.sortedTargets() {
-		if !x.fenced || x.lost || x.removed != 0 || c.fitFront(now, x, x.front) {
+		if !x.fenced || x.lost || x.removed != 0 {
+			continue
+		}
+		if c.fitFront(now, x, x.front) {
+			if c.view.Members[x.front].Incarnation != x.frontIncarnation {
+				// The process was replaced, and with it the front's memory.
+				c.setFront(now, x, x.front)
+				x.reissue = true
+			}
 			continue
 		}
 		if !x.policy.ChecksGrants && x.front != "" && (now.Before(x.ends) || !c.stopped(now, x)) {
@@ -83,13 +87,8 @@
 
 func (c *Coordinator) setFront(now core.Instant, x *targetState, vm core.VM) {
 	if x.front != "" {
-		for _, old := range x.memory() {
-			if !slices.Contains(x.previous, old) {
-				x.previous = append(slices.Clone(x.previous), old)
-			}
-		}
-		x.previous = x.previous[max(0, len(x.previous)-maxPrevious):]
-		x.previousAt, x.previousSince = now, x.token
+		// Only these had a part in what was sent under the last token.
+		x.previous, x.previousAt, x.previousSince = x.memory(), now, x.token
 		for _, r := range c.holder.ranges {
 			if r.target == x.id {
 				// The old front may have sent requests for the range since it came.
@@ -98,7 +97,7 @@
 		}
 		x.quietAt = max(x.quietAt, now.Add(core.Lengthen(core.GrantLease)))
 	}
-	x.front = vm
+	x.front, x.frontIncarnation = vm, c.view.Members[vm].Incarnation
 	c.holder.dirty = true
 }
 
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -49,10 +49,12 @@
 	// that no earlier holder gave it ranges.
 	added bool
 
-	front      core.VM
-	witnesses  []core.VM
-	previous   []core.VM
-	previousAt core.Instant
+	front core.VM
+	// frontIncarnation is that of the front's process, 0 if it isn't known.
+	frontIncarnation uint64
+	witnesses        []core.VM
+	previous         []core.VM
+	previousAt       core.Instant
 	// previousSince is the least token of a complete memory of request ids from
 	// before the last change of front.
 	previousSince core.Token
@@ -88,6 +90,7 @@
 type issue struct {
 	front       core.VM
 	incarnation uint64
+	witnesses   []core.VM
 	serving     []core.RangeID
 	moving      map[core.RangeID]bool
 }
@@ -144,7 +147,7 @@
 	}
 	for id, x := range h.targets {
 		a := c.current.Targets[id]
-		x.front, x.token = a.Front, a.Token
+		x.front, x.frontIncarnation, x.token = a.Front, a.FrontIncarnation, a.Token
 		x.witnesses, x.previous, x.previousAt, x.previousSince = a.Witnesses, a.Previous, now, a.PreviousSince
 	}
 	for id, a := range c.current.Ranges {
--- a/internal/coordinate/publish.go
+++ b/internal/coordinate/publish.go
@@ -41,6 +41,7 @@
 			continue
 		}
 		x.witnesses = c.chooseWitnesses(x)
+		issues[id].witnesses = x.witnesses
 		if now.Sub(x.previousAt) > remember {
 			x.previous, x.previousSince = nil, core.Token{}
 		}
@@ -51,7 +52,7 @@
 			}
 		}
 		a := core.TargetAssignment{
-			Front: x.front, Witnesses: x.witnesses, Previous: x.previous, PreviousSince: x.previousSince, Token: x.token,
+			Front: x.front, FrontIncarnation: x.frontIncarnation, Witnesses: x.witnesses, Previous: x.previous, PreviousSince: x.previousSince, Token: x.token,
 			Leaving: x.leaving() || x.lost,
 		}
 		if x.fenced {
@@ -86,8 +87,9 @@
 	return a
 }
 
-// issue gives a target a new token if its assignment has changed. A moving
-// range that is gone from the assignment needs none: the target dropped it.
+// issue gives a target a new token if its assignment has changed. New witnesses
+// are a change, too: an old one keeps a copy that is complete under the old
+// token only. A moving range that is gone from the assignment needs none: the target dropped it.
 func (c *Coordinator) issue(x *targetState, next issue) {
 	if !x.fenced || x.lost || x.front == "" {
 		return
@@ -96,7 +98,7 @@
 	x.issued = next
 	same := !x.reissue && x.token.Term == c.holder.role.Term && x.token.Rank == c.holder.role.Rank &&
 		old.front == next.front && old.incarnation == next.incarnation &&
-		slices.Equal(old.serving, next.serving) && subset(next.moving, old.moving)
+		slices.Equal(old.witnesses, next.witnesses) && slices.Equal(old.serving, next.serving) && subset(next.moving, old.moving)
 	if same {
 		return
 	}
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -67,7 +67,9 @@
 		x.token = reply.Granted
 	}
 	if reply.Held {
-		x.front = reply.Front
+		if x.front != reply.Front {
+			x.front, x.frontIncarnation = reply.Front, 0
+		}
 		for _, id := range reply.Ranges {
 			r := h.ranges[id]
 			if r == nil {
--- a/internal/core/rangemap.go
+++ b/internal/core/rangemap.go
@@ -37,6 +37,10 @@
 // TargetAssignment says which VM is the front of a target.
 type TargetAssignment struct {
 	Front VM
+	// FrontIncarnation is that of the process that is the front. A process that
+	// replaces it under the VM's id knows nothing of what it sent, and waits for
+	// an assignment of its own.
+	FrontIncarnation uint64
 	// Witnesses keep a copy of the front's request ids.
 	Witnesses []VM
 	// Previous are the VMs that may hold the request ids of earlier fronts.
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -59,8 +59,9 @@
 			Token:     tokenToPB(a.Token),
 			Leaving:   a.Leaving,
 
-			Incarnation:   a.Incarnation,
-			PreviousSince: tokenToPB(a.PreviousSince),
+			Incarnation:      a.Incarnation,
+			FrontIncarnation: a.FrontIncarnation,
+			PreviousSince:    tokenToPB(a.PreviousSince),
 		})
 	}
 	for id, a := range m.Ranges {
@@ -93,8 +94,9 @@
 			Token:     tokenFromPB(a.GetToken()),
 			Leaving:   a.GetLeaving(),
 
-			Incarnation:   a.GetIncarnation(),
-			PreviousSince: tokenFromPB(a.GetPreviousSince()),
+			Incarnation:      a.GetIncarnation(),
+			FrontIncarnation: a.GetFrontIncarnation(),
+			PreviousSince:    tokenFromPB(a.GetPreviousSince()),
 		}
 	}
 	for _, a := range m.GetRanges() {
--- a/internal/platformlog/fold.go
+++ b/internal/platformlog/fold.go
@@ -117,7 +117,15 @@
 	if err != nil {
 		return f, fmt.Errorf("%w: %w", ErrDocument, err)
 	}
-	if old, err := policy.Parse([]byte(f.Document)); err == nil && f.PolicyVersion != 0 && !policy.SameHomes(old, next) {
+	old, err := policy.Parse([]byte(f.Document))
+	if f.PolicyVersion == 0 || err != nil {
+		f.PolicyVersion, f.Document = offset, r.Document
+		return f, nil
+	}
+	if err := policy.CheckChange(old, next); err != nil {
+		return f, fmt.Errorf("%w: %w", ErrDocument, err)
+	}
+	if !policy.SameHomes(old, next) {
 		// Ranges change their failure domain, which needs releases as after a
 		// change of the domains' states.
 		f.Delegation = Delegation{
--- a/internal/policy/homes.go
+++ b/internal/policy/homes.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -37,6 +38,31 @@
 	return best, best != ""
 }
 
+// CheckChange returns the faults of a document that are faults only as a change
+// of the one in force. A key that fell into another range would have two owners
+// while the targets still hold grants for the old ranges.
+func CheckChange(old, next *Policy) error {
+	var faults Faults
+	for _, name := range slices.Sorted(maps.Keys(next.Services)) {
+		before, ok := old.Services[name]
+		if !ok {
+			continue
+		}
+		s := next.Services[name]
+		section := "service " + string(name)
+		if s.Ranges != before.Ranges {
+			faults = append(faults, Fault{Section: section, Key: "ranges", Reason: fmt.Sprintf("can't be changed from %d while the service exists; use a service of another name", before.Ranges)})
+		}
+		if s.Division != before.Division {
+			faults = append(faults, Fault{Section: section, Key: "division", Reason: fmt.Sprintf("can't be changed from %s while the service exists; use a service of another name", before.Division)})
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
 // SameHomes reports whether all ranges have the same home under both policies,
 // whatever the states of the failure domains.
 func SameHomes(a, b *Policy) bool {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -287,3 +287,19 @@
 		}
 	})
 }
+
+// Guards against a change of how keys fall into ranges while targets hold
+// grants for the old ranges, which would give a key two owners.
+func TestRangesOfAServiceStay(t *testing.T) {
+	is := is.New(t)
+	old := &Policy{Services: map[core.Service]Service{"s": {Ranges: 24, Division: DivisionKey}}}
+	is.NoErr(CheckChange(old, old))
+	next := &Policy{Services: map[core.Service]Service{
+		"s": {Ranges: 48, Division: DivisionNone}, "new": {Ranges: 7},
+	}}
+	faults, ok := CheckChange(old, next).(Faults)
+	is.True(ok)
+	is.Equal(len(faults), 2)
+	is.Equal(faults[0].Key, "ranges")
+	is.Equal(faults[1].Key, "division")
+}
