--- a/internal/coordinate/scenario_test.go
+++ b/internal/coordinate/scenario_test.go
@@ -47,9 +47,9 @@
 //	policy ranges=12 candidates=2 isolation=keep move_after=10s
 //	vm ID DOMAIN ... | target ID DOMAIN ... | start | run DURATION
 //	kill|freeze|thaw|return ID ... | cut|heal ID ID | rate ID FACTOR
-//	log up|down|slow DURATION | lose SHARE | leavevm VM
+//	log up|down|slow DURATION | lose SHARE | stall SHARE | leavevm VM
 //	demand KEYHASH REQUESTS_PER_SECOND (a target can run 100)
-//	leave TARGET | stay TARGET | drain TARGET | domain NAME in|out|lost
+//	leave|stay|remove|drain TARGET | unchecked TARGET (before start) | domain NAME in|out|lost
 //	expect served [within DURATION] | expect unserved [N]
 //	expect holder DOMAIN ID | expect moves MOST | expect owners DOMAIN N
 //	expect targetranges TARGET N | expect fronts VM N | expect busiest MOST
@@ -94,9 +94,17 @@
 		v.do(func() { v.stepMembers(membership.Leave{}) })
 	case "lose":
 		w.lose, err = strconv.ParseFloat(f[1], 64)
+	case "stall":
+		w.stall, err = strconv.ParseFloat(f[1], 64)
 	case "leave", "stay":
 		w.document.leaving[f[1]] = f[0] == "leave"
 		w.submit()
+	case "remove":
+		w.document.targets = slices.DeleteFunc(w.document.targets, func(t string) bool { return strings.HasPrefix(t, f[1]+"@") })
+		w.submit()
+	case "unchecked":
+		w.targets[core.Target(f[1])].unchecked = true
+		w.document.unchecked = map[string]bool{f[1]: true}
 	case "drain":
 		w.targets[core.Target(f[1])].draining = true
 	case "domain":
--- a/internal/coordinate/vm_test.go
+++ b/internal/coordinate/vm_test.go
@@ -60,7 +60,7 @@
 	v.incarnation++
 	v.alive, v.frozen, v.deferred = true, false, nil
 	v.coordinator = New(v.id, v.domain, v.incarnation)
-	v.reader = platformlog.NewReader()
+	v.reader = platformlog.NewReader(v.id)
 	v.keeper = grant.NewKeeper(v.id, v.domain, v.incarnation)
 	v.folded, v.policy = platformlog.Folded{}, nil
 	v.maps = make(map[core.FailureDomain]*core.RangeMap)
@@ -165,6 +165,7 @@
 	}
 	v.assign()
 	v.versions()
+	v.w.checkKeys()
 }
 
 func (v *simVM) versions() {
@@ -319,6 +320,7 @@
 			})
 		case grant.Changed:
 			v.views[o.Target] = o.View
+			v.w.checkFronts(o.Target)
 		case grant.SendReport:
 			sent := v.clock()
 			reply := make(chan grant.ReportAnswer, 1)
--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,8 @@
 	demand map[uint64]float64
 	// lose is the share of answers that are lost.
 	lose float64
+	// stall is the share of messages that are under way for up to 3 s.
+	stall float64
 }
 
 type event struct {
@@ -89,6 +92,9 @@
 func (w *world) cut(a, b string) bool { return w.cuts[[2]string{a, b}] || w.cuts[[2]string{b, a}] }
 
 func (w *world) latency() time.Duration {
+	if w.stall > 0 && w.rand.Float64() < w.stall {
+		return time.Duration(w.rand.Int64N(int64(3 * time.Second)))
+	}
 	return 500*time.Microsecond + time.Duration(w.rand.Int64N(int64(2*time.Millisecond)))
 }
 
@@ -141,6 +147,8 @@
 	ranges      []core.RangeID
 	leaseEnd    grant.TargetClock
 	draining    bool
+	// unchecked is set for a target that takes orders from anybody.
+	unchecked bool
 }
 
 func (t *simTarget) clock() grant.TargetClock {
@@ -177,6 +185,13 @@
 }
 
 func (t *simTarget) apply(o grant.Order) string {
+	if t.unchecked && o.Kind != grant.OrderInspect {
+		t.token, t.front, t.leaseEnd = o.Token, o.Front, o.LeaseEnd
+		if o.Kind == grant.OrderTake {
+			t.ranges = append([]core.RangeID(nil), o.Ranges...)
+		}
+		return ""
+	}
 	order := o.Token.Compare(t.token)
 	if o.Kind != grant.OrderInspect && (t.clock() > o.Deadline || o.Incarnation != t.incarnation) {
 		return "late or for another incarnation"
@@ -211,13 +226,57 @@
 		for _, a := range t.ranges {
 			for _, b := range other.ranges {
 				if a == b {
-					w.note("TWO OWNERS of %s: %s (%s by %s %s) and %s (%s %s)", a, t.id, o.Kind, o.Front, o.Token, other.id, other.front, other.token)
-					w.faults = append(w.faults, w.trace[len(w.trace)-1])
+					w.fail("TWO OWNERS of %s: %s (%s by %s %s) and %s (%s %s)", a, t.id, o.Kind, o.Front, o.Token, other.id, other.front, other.token)
 					return
 				}
 			}
 		}
 	}
+	w.checkKeys()
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.note(format, args...)
+	w.faults = append(w.faults, w.trace[len(w.trace)-1])
+}
+
+// checkFronts checks that at most one front sends to a target that checks no
+// grants.
+func (w *world) checkFronts(id core.Target) {
+	var at []core.VM
+	for vm, v := range w.vms {
+		if v.alive && v.clock().Before(v.views[id].HeldUntil) {
+			at = append(at, vm)
+		}
+	}
+	if len(at) > 1 && w.targets[id].unchecked {
+		w.fail("TWO FRONTS of %s: %v", id, at)
+	}
+}
+
+// checkKeys checks that no key in demand can run at two targets. A front runs a
+// key of a range only if its map does not name the key as a range of its own.
+func (w *world) checkKeys() {
+	for hash := range w.demand {
+		var at []string
+		for id, t := range w.targets {
+			v := w.vms[t.front]
+			if v == nil || !t.held() || !v.alive || !v.clock().Before(v.views[id].HeldUntil) || v.maps[v.domain] == nil {
+				continue
+			}
+			m := v.maps[v.domain]
+			r := core.RangeID{Service: "s", HotKey: hash}
+			if _, ok := m.Ranges[r]; !ok {
+				r = core.RangeOf("s", hash, uint32(w.document.ranges))
+			}
+			if a := m.Ranges[r]; a.Target == id && a.State == core.RangeServing && slices.Contains(t.ranges, r) {
+				at = append(at, fmt.Sprintf("%s by %s %s", id, v.id, m.Version))
+			}
+		}
+		if len(at) > 1 {
+			w.fail("TWO OWNERS of key %d: %v", hash, at)
+		}
+	}
 }
 
 // simLog is the platform's log.
@@ -259,6 +318,7 @@
 	isolation  string
 	moveAfter  string
 	leaving    map[string]bool
+	unchecked  map[string]bool
 }
 
 func (p policyText) String() string {
@@ -269,7 +329,7 @@
 	b.WriteString("[route get]\npath = /s/{k}\nservice = s\nkey = path:k\n")
 	for i, t := range p.targets {
 		id, domain, _ := strings.Cut(t, "@")
-		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:%d\nslots = 4\nleaving = %t\n", id, domain, i+1, p.leaving[id])
+		fmt.Fprintf(&b, "[target %s]\nservice = s\nfailure_domain = %s\naddress = 127.0.0.1:%d\nslots = 4\nleaving = %t\nchecks_grants = %t\n", id, domain, i+1, p.leaving[id], !p.unchecked[id])
 	}
 	return b.String()
 }
