--- a/internal/front/custody.go
+++ b/internal/front/custody.go
@@ -116,7 +116,8 @@
 	c := f.custody[id]
 	switch {
 	case c == nil:
-		if base := f.custody[r.Base]; id.HotKey != 0 && base != nil && base.left == 0 && f.covered(r.Base) && !base.token.Less(next.since) {
+		base := f.custody[r.Base]
+		if id.HotKey != 0 && f.covered(r.Base) && base.left == 0 && !base.token.Less(next.since) && next.has(f.vm, next.sources) {
 			// The key was part of a range whose memory is here.
 			next.ready, next.token = true, base.token
 		}
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -75,9 +75,9 @@
 	slices.SortStableFunc(s.lost, func(a, b lostCall) int { return cmp.Compare(b.until, a.until) })
 	older := 0
 	for i := range s.lost {
-		if l := &s.lost[i]; !l.since.After(sent) {
+		if l := &s.lost[i]; !l.ended && !l.since.After(sent) {
 			older++
-			l.ended = l.ended || older > n
+			l.ended = older > n
 		}
 	}
 	if n == 0 {
