scenario: the console changes the policy while requests flow; own process groups

Cause: in one of two full runs the stopped platform stand-in of loss-target-down was gone. The shell that had started the tests had ended, and the kernel ends the stopped members of an orphaned process group with SIGHUP. Ruled out: a crash, of which the output has no trace. Each process now has its own group.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -36,8 +36,11 @@
 		"target": {3, func(w *world, _ *testscript.TestScript, args []string) (string, error) {
 			return "", w.startTarget(args[0], args[1], args[2], args[3:])
 		}},
-		"vm":        {2, commandVM},
-		"submit":    {1, commandSubmit},
+		"vm":     {2, commandVM},
+		"submit": {1, commandSubmit},
+		"console": {1, func(w *world, ts *testscript.TestScript, args []string) (string, error) {
+			return "", w.consoleSubmit(w.policy(ts.ReadFile(args[0]), nil))
+		}},
 		"sigkill":   {1, each((*world).kill)},
 		"sigterm":   {1, each((*world).term)},
 		"sigcont":   {1, each((*world).cont)},
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -75,6 +75,9 @@
 	p.cmd = exec.Command("celeryhook", args...)
 	p.cmd.Env = append(os.Environ(), cutsVariable+"="+w.cutFile(p.id))
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// The kernel ends stopped members of a process group with SIGHUP when the
+	// shell that started the tests ends, so each process has its own group.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	p.exited, p.stopped = make(chan struct{}), false
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.id, err)
