--- a/internal/coordinate/authority.go
+++ b/internal/coordinate/authority.go
@@ -11,7 +11,7 @@
 
 // settle is how long a new holder waits before time-based acts. When it gets
 // the keep right its predecessor has lost it, but a front may still act on the
-// predecessor's word for grant.HolderLease, its take may be under way for
+// predecessor's confirmation for grant.HolderLease, its take may be under way for
 // grant.OrderTimeout, and requests of a replaced front may run until the end
 // of their grant. The grant lease exceeds the first two together.
 var settle = core.Lengthen(max(core.GrantLease, grant.HolderLease+grant.OrderTimeout))
--- a/internal/coordinate/bounds_test.go
+++ b/internal/coordinate/bounds_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	began := w.now
-	// A loss shows only when its grant or its front's word has ended.
+	// A loss shows only when its grant or its front's confirmation has ended.
 	last := w.now
 	for w.now.Sub(began) < 4*time.Second {
 		w.run(10 * time.Millisecond)
--- a/internal/coordinate/domainpromise.go
+++ b/internal/coordinate/domainpromise.go
@@ -90,7 +90,7 @@
 
 // lostEnds is when the grants of a lost failure domain's targets have ended: it
 // notices by the log or its last promise ends, its fronts lose the holder's
-// word, and their last grants end.
+// confirmation, and their last grants end.
 func (c *Coordinator) lostEnds(other core.FailureDomain) core.Instant {
 	authority := c.delegatedAt.Add(core.Lengthen(core.LogLease))
 	authority = max(authority, c.domains.given[other], max(c.holder.began, c.authority.closedSince).Add(core.Lengthen(core.PromiseLease)))
--- a/internal/coordinate/holder.go
+++ b/internal/coordinate/holder.go
@@ -201,7 +201,7 @@
 			x.ends = max(x.ends, now.Add(core.Lengthen(core.GrantLease)))
 			x.quietAt = max(x.quietAt, x.ends)
 			// The new process may act on the assignment if it is the present
-			// one or if it has had this holder's word already.
+			// one or if this holder has confirmed its map to it already.
 			if vm == x.front || h.reports[vm].incarnation == m.Incarnation {
 				x.extenders[vm] = m.Incarnation
 			}
--- a/internal/coordinate/targets.go
+++ b/internal/coordinate/targets.go
@@ -213,7 +213,7 @@
 }
 
 // stopped reports whether no VM extends the grant of a target any more. The
-// front of a service with isolation = yield stops without a holder's word.
+// front of a service with isolation = yield stops without a holder's confirmation.
 func (c *Coordinator) stopped(now core.Instant, x *targetState) bool {
 	yields := c.yields(x.policy.Service)
 	for vm := range x.extenders {
--- a/internal/grant/due.go
+++ b/internal/grant/due.go
@@ -41,9 +41,9 @@
 	switch {
 	case h.lost, h.silent, h.view.Clock == ClockReading{}:
 		return OrderInspect, true
-	case h.confirmed != h.want.Token && sameTarget && now.Before(k.word) && h.readyToTake():
+	case h.confirmed != h.want.Token && sameTarget && now.Before(k.confirmedUntil) && h.readyToTake():
 		return OrderTake, true
-	case h.want.Yield && !now.Before(k.yieldWord):
+	case h.want.Yield && !now.Before(k.yieldConfirmedUntil):
 		return "", false
 	case !h.confirmed.IsZero():
 		return OrderRenew, true
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -19,9 +19,10 @@
 	addresses map[core.VM]string
 	holder    core.VM
 	version   core.Token
-	// word and yieldWord are the ends of the holder's last permissions to take
-	// grants, and to renew those of services with isolation = yield.
-	word, yieldWord core.Instant
+	// confirmedUntil and yieldConfirmedUntil are the ends of the holder's last
+	// permissions to take grants, and to renew those of services with
+	// isolation = yield.
+	confirmedUntil, yieldConfirmedUntil core.Instant
 
 	orders   uint64
 	sequence uint64
@@ -108,7 +109,7 @@
 		return
 	}
 	if m.Version.Term != k.version.Term || m.Version.Rank != k.version.Rank {
-		k.word, k.yieldWord = 0, 0
+		k.confirmedUntil, k.yieldConfirmedUntil = 0, 0
 	}
 	k.holder, k.version = m.Holder, m.Version
 	k.changed = true
--- a/internal/grant/messages.go
+++ b/internal/grant/messages.go
@@ -18,7 +18,7 @@
 	lostInterval = 600 * time.Millisecond
 	// ReportInterval is the pause between reports that say nothing new.
 	ReportInterval = 200 * time.Millisecond
-	// HolderLease is how long a front may act on the word of a holder. A take
+	// HolderLease is how long a front may act on the confirmation of a holder. A take
 	// that was decided on it reaches its target at most OrderTimeout later.
 	HolderLease = core.PromiseLease
 )
--- a/internal/grant/report.go
+++ b/internal/grant/report.go
@@ -75,10 +75,10 @@
 		return
 	}
 	if v == k.version {
-		k.word = max(k.word, m.Sent.Add(core.Shorten(HolderLease)))
+		k.confirmedUntil = max(k.confirmedUntil, m.Sent.Add(core.Shorten(HolderLease)))
 	}
 	if m.Answer.DomainAuthority {
-		k.yieldWord = max(k.yieldWord, m.Sent.Add(core.Shorten(HolderLease)))
+		k.yieldConfirmedUntil = max(k.yieldConfirmedUntil, m.Sent.Add(core.Shorten(HolderLease)))
 	}
 }
 
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -143,6 +143,33 @@
 	return args[won] + " won", nil
 }
 
+// commandDeploy starts one of the deployments in testdata/common and waits until
+// it serves.
+func commandDeploy(w *world, ts *testscript.TestScript, args []string) (string, error) {
+	for line := range strings.Lines(ts.ReadFile("common/" + args[0] + ".deploy")) {
+		f := strings.Fields(line)
+		var err error
+		switch f[0] {
+		case "platform":
+			err = w.startPlatform(nil)
+		case "target":
+			err = w.startTarget(f[1], f[2], f[3], nil)
+		case "vm":
+			_, err = commandVM(w, ts, f[1:])
+		case "submit":
+			_, err = commandSubmit(w, ts, f[1:])
+		case "served":
+			_, err = commandServed(w, ts, f[1:])
+		default:
+			err = fmt.Errorf("%q can't be used in a deployment", f[0])
+		}
+		if err != nil {
+			return "", fmt.Errorf("%s: %w", strings.TrimSpace(line), err)
+		}
+	}
+	return "", nil
+}
+
 func commandWho(w *world, ts *testscript.TestScript, args []string) (string, error) {
 	name := ""
 	switch args[1] {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -1,7 +1,6 @@
 // Package scenario tests the whole program: entry VMs, targets and the
 // platform's stand-in as separate processes on loopback, driven by the scripts
-// in testdata. Scripts in testdata/pending wait for parts that are not built
-// yet; each says in its first lines for which.
+// in testdata.
 //
 // A script asserts safety at every moment, by its check command over the run
 // logs of all targets, and progress under a generous deadline, never a speed.
@@ -11,8 +10,10 @@
 //	platform [FLAG...]                 start the platform's stand-in
 //	target ID SERVICE DOMAIN [FLAG...] start a target; it becomes part of later policies
 //	vm ID DOMAIN [FILE]                start an entry VM; FILE adds settings
+//	deploy NAME                        start the deployment common/NAME.deploy and wait until it serves
 //	submit FILE... [ID.KEY=VALUE...]   submit a policy, to which all targets are added; of two that
 //	                                   race, set WON and LOST to the file names
+//	console FILE                       submit a policy through the forms of a console process
 //	domain NAME in|out|lost            change the state of a failure domain
 //	candidates DOMAIN N                wait until the term in force has N candidates
 //	sigkill, sigstop, sigcont, sigterm, restart ID...
