--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -38,6 +38,7 @@
 		}},
 		"vm":     {2, commandVM},
 		"submit": {1, commandSubmit},
+		"deploy": {1, commandDeploy},
 		"console": {1, func(w *world, ts *testscript.TestScript, args []string) (string, error) {
 			return "", w.consoleSubmit(w.policy(ts.ReadFile(args[0]), nil))
 		}},
