target: a repeat that can't connect doesn't prove that nothing was sent

Cause: the HTTP transport repeats an idempotent request whose kept connection was lost. Ruled out: non-idempotent requests, which the transport never repeats. Change: a failure to connect proves nothing once headers were written. Measured: TestRepeatWithoutConnectionMayHaveRun fails before and passes 20 of 20 after, with the race detector.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/grant"
@@ -134,7 +136,16 @@
 	if s.Once {
 		forbidRepeat(req, call.Body)
 	}
+	// The transport repeats an idempotent request whose connection was lost. If
+	// the repeat can't connect, the first one may have run all the same.
+	var written atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		WroteHeaders: func() { written.Store(true) },
+	}))
 	res, err := c.http.Do(req)
+	if err != nil && written.Load() {
+		return Response{}, fmt.Errorf("%w: %s: %w", ErrNoResponse, address, err)
+	}
 	if err != nil {
 		return Response{}, sendError(address, err)
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -58,3 +58,27 @@
 	is.Equal(res.Status, http.StatusTemporaryRedirect)
 	is.Equal(arrived, 1)
 }
+
+// Guards against a "not sent" for a request that the transport had sent on a
+// kept connection before it failed to connect for the repeat.
+func TestRepeatWithoutConnectionMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	var h *httptest.Server
+	requests := 0
+	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests++; requests > 1 {
+			_ = h.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(HeaderRequestID, "x")
+		w.Header().Set(HeaderAttempt, "1")
+	}))
+	defer h.Close()
+	c := NewClient("vm", h.Client())
+	call, stamp := Call{Method: http.MethodGet, Path: "/"}, Stamp{Request: "x", Attempt: 1}
+	_, err := c.Do(t.Context(), h.Listener.Addr().String(), call, stamp)
+	is.NoErr(err)
+	_, err = c.Do(t.Context(), h.Listener.Addr().String(), call, stamp)
+	is.True(errors.Is(err, ErrNoResponse))
+	is.True(!errors.Is(err, ErrNotSent))
+}
