--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,6 +38,7 @@
 	parser.ShortDescription = "router for servers that own their keys exclusively"
 	parser.LongDescription = help
 	add(parser, "entry", "Run an entry VM", "Runs an entry VM until it gets SIGTERM or SIGINT.", &entryCommand{streams: s, options: options})
+	add(parser, "gateway", "Run a gateway VM on the platform", "Runs a gateway VM with the platform's settings file until it gets SIGTERM or SIGINT. It learns everything else from the platform's store.", &gatewayCommand{streams: s, options: options})
 	add(parser, "console", "Run the operators' console", "Serves forms for the policy at the address in its settings until it gets SIGTERM or SIGINT.", &consoleCommand{streams: s})
 	add(parser, "status", "Show the state of VMs", "Asks the operators' listener of each VM for /readyz and /status. Exit code 1 if a VM isn't ready or gives no status.", &statusCommand{streams: s})
 	add(parser, "explain", "Show where a key goes", "Shows hash, range, home failure domain, target and front of a key, and why. Exit code 1 if a request for the key would be refused now.", &explainCommand{streams: s})
--- /dev/null
+++ b/internal/ingress/stop.go
@@ -0,0 +1,57 @@
+package ingress
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// announceTime is how long the VM goes on as before after it has become
+	// unready: the load balancer asks once a second and needs two misses, and
+	// callers learn by their next answer that the connection closes.
+	announceTime = 2600 * time.Millisecond
+	// quietTime is how long a connection must be idle before the VM closes it.
+	quietTime = 300 * time.Millisecond
+	stopPoll  = 50 * time.Millisecond
+)
+
+// Stop ends the server without cutting a request: each answer closes its
+// connection from now on; after a while the listener and the idle connections
+// close, and the requests in progress are waited for until the context ends.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	pause(ctx, announceTime)
+	_ = s.inner.Close()
+	for ctx.Err() == nil {
+		if s.closeIdle() == 0 {
+			break
+		}
+		pause(ctx, stopPoll)
+	}
+	return s.server.Close()
+}
+
+// closeIdle closes the idle connections and returns how many stay open.
+func (s *Server) closeIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := 0
+	for c := range s.conns {
+		idle := time.Since(time.Unix(0, c.last.Load()))
+		if c.busy.Load() != 0 || len(c.chunks) > 0 || idle < quietTime {
+			open++
+			continue
+		}
+		go func() { _ = c.Close() }()
+	}
+	return open
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/mesh/client.go
@@ -0,0 +1,103 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/mesh/meshpb"
+	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/replica"
+	"celeryhook.example/celeryhook/internal/roster"
+)
+
+// Client calls other VMs.
+type Client struct {
+	clock duty.Clock
+	http  *http.Client
+}
+
+// NewClient returns a client. Its connections are kept for the next call.
+func NewClient(clock duty.Clock) *Client {
+	const (
+		dialTimeout = 300 * time.Millisecond
+		idle        = 10 * time.Second
+	)
+	return &Client{clock: clock, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: idle, DisableCompression: true,
+	}}}
+}
+
+func (c *Client) to(m roster.Member) meshpb.Mesh {
+	return meshpb.NewMeshProtobufClient("http://"+m.Address, c.http)
+}
+
+// Peer is another VM as a source of the streams.
+type Peer struct {
+	client *Client
+	member roster.Member
+}
+
+// Peer returns a member as a source.
+func (c *Client) Peer(m roster.Member) *Peer { return &Peer{client: c, member: m} }
+
+// Name implements replica.Peer.
+func (p *Peer) Name() core.VM { return p.member.VM }
+
+// Sync implements replica.Peer.
+func (p *Peer) Sync(ctx context.Context, have []replica.Position, wait time.Duration) ([]replica.Batch, error) {
+	req := &meshpb.SyncRequest{WaitMs: uint32(wait.Milliseconds())}
+	for _, h := range have {
+		req.Have = append(req.Have, &meshpb.Position{Stream: uint32(h.Stream), Next: h.Next})
+	}
+	reply, err := p.client.to(p.member).Sync(ctx, req)
+	if err != nil {
+		return nil, fmt.Errorf("mesh: sync with %s: %w", p.member.VM, err)
+	}
+	now := p.client.clock()
+	var out []replica.Batch
+	for _, s := range reply.Streams {
+		if s.Stream >= uint32(replica.NumStreams) {
+			return nil, fmt.Errorf("mesh: sync with %s: unknown stream %d", p.member.VM, s.Stream)
+		}
+		b := replica.Batch{Stream: replica.Stream(s.Stream), Next: s.End, AsOf: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)}
+		for _, r := range s.Records {
+			b.Records = append(b.Records, replica.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Deleted: r.Deleted})
+		}
+		out = append(out, b)
+	}
+	return out, nil
+}
+
+// Report sends a load report to the assigner.
+func (c *Client) Report(ctx context.Context, to roster.Member, l ownership.Load) error {
+	req := &meshpb.LoadReport{Vm: string(l.VM)}
+	for s, units := range l.Units {
+		sv := &meshpb.ServiceLoad{Service: string(s)}
+		for u, rate := range units {
+			sv.Units = append(sv.Units, &meshpb.UnitLoad{Unit: uint32(u), PerSecond: float32(rate)})
+		}
+		req.Services = append(req.Services, sv)
+	}
+	for t, d := range l.ServiceTime {
+		req.Targets = append(req.Targets, &meshpb.TargetSpeed{Target: string(t), ServiceMs: float32(d) / float32(time.Millisecond)})
+	}
+	if _, err := c.to(to).Report(ctx, req); err != nil {
+		return fmt.Errorf("mesh: report to %s: %w", to.VM, err)
+	}
+	return nil
+}
+
+// Settle asks a member until when a target may hold what it renewed.
+func (c *Client) Settle(ctx context.Context, to roster.Member, t core.Target, offset int64) (ownership.QueryReply, error) {
+	reply, err := c.to(to).Settle(ctx, &meshpb.SettleRequest{Target: string(t), Offset: offset})
+	if err != nil {
+		return ownership.QueryReply{}, fmt.Errorf("mesh: settle with %s: %w", to.VM, err)
+	}
+	return ownership.QueryReply{Applied: reply.Applied, Remaining: time.Duration(reply.RemainingMs) * time.Millisecond}, nil
+}
--- /dev/null
+++ b/internal/mesh/server.go
@@ -0,0 +1,103 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/mesh/meshpb"
+	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/replica"
+	"celeryhook.example/celeryhook/internal/ring"
+)
+
+// maxSyncWait bounds how long a peer's call may be held.
+const maxSyncWait = 2 * time.Second
+
+// Server answers the other VMs.
+type Server struct {
+	clock    duty.Clock
+	replica  *ring.Ring[replica.Message]
+	assigner *ring.Ring[ownership.Message]
+	keeper   *ring.Ring[ownership.Message]
+}
+
+// NewServer returns a server that passes calls to the duties.
+func NewServer(clock duty.Clock, r *ring.Ring[replica.Message], assigner, keeper *ring.Ring[ownership.Message]) *Server {
+	return &Server{clock: clock, replica: r, assigner: assigner, keeper: keeper}
+}
+
+// Sync implements meshpb.Mesh.
+func (s *Server) Sync(ctx context.Context, req *meshpb.SyncRequest) (*meshpb.SyncReply, error) {
+	have := make([]replica.Position, 0, len(req.Have))
+	for _, p := range req.Have {
+		if p.Stream >= uint32(replica.NumStreams) {
+			return nil, twirp.InvalidArgumentError("have", "unknown stream")
+		}
+		have = append(have, replica.Position{Stream: replica.Stream(p.Stream), Next: p.Next})
+	}
+	reply := make(chan []replica.Batch, 1)
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxSyncWait)
+	if err := s.replica.Wait(ctx, replica.Ask{Have: have, Until: s.clock().Add(wait), Reply: reply}); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	select {
+	case batches := <-reply:
+		return s.syncReply(batches), nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
+	}
+}
+
+func (s *Server) syncReply(batches []replica.Batch) *meshpb.SyncReply {
+	now := s.clock()
+	out := &meshpb.SyncReply{}
+	for _, b := range batches {
+		state := &meshpb.StreamState{Stream: uint32(b.Stream), End: b.Next, AgeMs: now.Sub(b.AsOf).Milliseconds()}
+		for _, r := range b.Records {
+			state.Records = append(state.Records, &meshpb.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Deleted: r.Deleted})
+		}
+		out.Streams = append(out.Streams, state)
+	}
+	return out
+}
+
+// Report implements meshpb.Mesh.
+func (s *Server) Report(ctx context.Context, req *meshpb.LoadReport) (*meshpb.ReportReply, error) {
+	load := ownership.Load{
+		VM:          core.VM(req.Vm),
+		Units:       make(map[core.Service]map[int]float64),
+		ServiceTime: make(map[core.Target]time.Duration),
+	}
+	for _, sv := range req.Services {
+		units := make(map[int]float64, len(sv.Units))
+		for _, u := range sv.Units {
+			units[int(u.Unit)] = float64(u.PerSecond)
+		}
+		load.Units[core.Service(sv.Service)] = units
+	}
+	for _, t := range req.Targets {
+		load.ServiceTime[core.Target(t.Target)] = time.Duration(t.ServiceMs * float32(time.Millisecond))
+	}
+	if err := s.assigner.Wait(ctx, load); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &meshpb.ReportReply{}, nil
+}
+
+// Settle implements meshpb.Mesh.
+func (s *Server) Settle(ctx context.Context, req *meshpb.SettleRequest) (*meshpb.SettleReply, error) {
+	reply := make(chan ownership.QueryReply, 1)
+	if err := s.keeper.Wait(ctx, ownership.Query{Target: core.Target(req.Target), Offset: req.Offset, Reply: reply}); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	select {
+	case r := <-reply:
+		return &meshpb.SettleReply{Applied: r.Applied, RemainingMs: r.Remaining.Milliseconds()}, nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
+	}
+}
--- /dev/null
+++ b/internal/node/module.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+
+	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/mesh"
+	"celeryhook.example/celeryhook/internal/mesh/meshpb"
+	"celeryhook.example/celeryhook/internal/observe"
+)
+
+// Options are the gateway's own settings.
+type Options struct {
+	// MetricsAddress is where metrics are served; empty for nowhere.
+	MetricsAddress string
+	TraceExporter  string
+	TraceEndpoint  string
+}
+
+// Module returns the fx options of a gateway VM.
+func Module(s Settings, p Platform, o Options, log logr.Logger) fx.Option {
+	gin.SetMode(gin.ReleaseMode)
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(s.StopTimeout+time.Second),
+		fx.Supply(s, o),
+		fx.Provide(
+			func() logr.Logger { return log },
+			func() Platform { return p },
+			duty.NewBootClock,
+			newTracer,
+			observe.NewMetrics,
+			NewProcess,
+		),
+		fx.Invoke(register),
+	)
+}
+
+func newTracer(lc fx.Lifecycle, s Settings, o Options) (trace.Tracer, error) {
+	tracer, flush, err := observe.NewTracer(context.Background(), o.TraceExporter, o.TraceEndpoint, string(s.VM))
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	lc.Append(fx.Hook{OnStop: flush})
+	return tracer, nil
+}
+
+func register(lc fx.Lifecycle, n *Process, o Options) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return n.start(o) },
+		OnStop:  func(ctx context.Context) error { return n.stop(ctx) },
+	})
+}
+
+func (n *Process) start(o Options) error {
+	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
+		return err
+	}
+	meshHandler := meshpb.NewMeshServer(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.keeperRing))
+	if err := n.serve(n.settings.MeshAddress, meshHandler); err != nil {
+		return err
+	}
+	if err := n.serve(n.settings.ReadyAddress, n.readyHandler()); err != nil {
+		return err
+	}
+	if o.MetricsAddress != "" {
+		if err := n.serve(o.MetricsAddress, n.metricsHandler()); err != nil {
+			return err
+		}
+	}
+	n.startDuties()
+	n.run(context.Background(), func(context.Context) {
+		if err := n.ingress.Serve(); err != nil {
+			n.log.Error(err, "callers' listener failed")
+		}
+	})
+	n.watchReload()
+	n.log.Info("gateway started", "vm", n.self.VM, "failure_domain", n.self.FailureDomain, "incarnation", n.self.Incarnation,
+		"callers", n.settings.CallersAddress, "mesh", n.self.Address, "retry_ratio", n.settings.Retry.Ratio, "retry_extra", n.settings.Retry.Extra)
+	return nil
+}
+
+// serve serves a listener of the VM's own until the process ends.
+func (n *Process) serve(address string, h http.Handler) error {
+	const headTimeout = 5 * time.Second
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error(err, "listener failed", "address", address)
+		}
+	}()
+	return nil
+}
+
+func (n *Process) readyHandler() http.Handler {
+	e := gin.New()
+	e.GET(n.settings.ReadyPath, func(c *gin.Context) {
+		if n.ready.Load() {
+			c.Status(http.StatusOK)
+			return
+		}
+		c.Status(http.StatusServiceUnavailable)
+	})
+	return e
+}
+
+func (n *Process) metricsHandler() http.Handler {
+	e := gin.New()
+	e.GET("/metrics", gin.WrapH(n.metrics))
+	return e
+}
+
+// checkReady decides whether the load balancer may send callers here: the VM
+// must know configuration, targets and owners, and not be stopping.
+func (n *Process) checkReady(context.Context) {
+	ready, reason := n.readiness()
+	if n.ready.Swap(ready) != ready {
+		n.log.Info("readiness changed", "ready", ready, "reason", reason)
+	}
+}
+
+func (n *Process) readiness() (bool, string) {
+	table := n.routes.Table()
+	switch {
+	case n.stopping.Load():
+		return false, "stopping"
+	case table == nil:
+		return false, "no configuration"
+	case n.targets.Load() == nil:
+		return false, "no targets"
+	case n.owners.Load() == nil:
+		return false, "no ledger"
+	}
+	owners := n.owners.Load()
+	for name, s := range table.Services() {
+		if s.DividedByKey && owners.Services[name] == nil {
+			return false, "keys of " + string(name) + " not assigned"
+		}
+	}
+	return true, "complete"
+}
+
+// watchReload reads the settings again when the platform says that they have
+// changed.
+func (n *Process) watchReload() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			s, err := n.platform.Settings()
+			if err != nil {
+				n.log.Error(err, "settings not reloaded")
+				continue
+			}
+			n.log.Info("settings reloaded", "changed", s != n.settings, "retry_ratio", s.Retry.Ratio, "retry_extra", s.Retry.Extra)
+		}
+	}()
+}
+
+// stop ends the VM without cutting a request.
+func (n *Process) stop(ctx context.Context) error {
+	began := n.clock()
+	n.log.Info("gateway stopping", "timeout_ms", n.settings.StopTimeout.Milliseconds())
+	n.stopping.Store(true)
+	n.ready.Store(false)
+	err := n.ingress.Stop(ctx)
+	n.cancel()
+	n.pool.Close()
+	n.log.Info("gateway stopped", "took_ms", n.clock().Sub(began).Milliseconds())
+	return err
+}
--- /dev/null
+++ b/internal/node/process.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
+
+	"celeryhook.example/celeryhook/internal/balance"
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/ingress"
+	"celeryhook.example/celeryhook/internal/mesh"
+	"celeryhook.example/celeryhook/internal/observe"
+	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/replica"
+	"celeryhook.example/celeryhook/internal/ring"
+	"celeryhook.example/celeryhook/internal/roster"
+	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/upstream"
+)
+
+const (
+	// requestRing holds the questions of requests in progress; a VM has a few
+	// hundred of them.
+	requestRing = 4096
+	// stateRing holds changes of state, which come a few hundred at a time when
+	// a copy is read whole.
+	stateRing = 4096
+	// orderWorkers carry out orders to targets at the same time.
+	orderWorkers = 24
+	// probeWorkers and peerWorkers do the same for health checks and for calls
+	// to other VMs.
+	probeWorkers = 4
+	peerWorkers  = 8
+	poolRing     = 1024
+
+	tickInterval      = 100 * time.Millisecond
+	replicaTick       = 50 * time.Millisecond
+	discoveryTick     = 200 * time.Millisecond
+	reportInterval    = time.Second
+	sweepInterval     = time.Second
+	membersFreshAge   = 4 * time.Second
+	readinessInterval = 100 * time.Millisecond
+)
+
+// Process is a gateway VM.
+type Process struct {
+	settings Settings
+	platform Platform
+	log      logr.Logger
+	metrics  *observe.Metrics
+	clock    duty.Clock
+	self     roster.Member
+
+	routes routing.Holder
+	// ledger is folded by the replica's duty and read by others.
+	ledger     *ownership.Ledger
+	owners     atomic.Pointer[ownership.View]
+	members    atomic.Pointer[roster.View]
+	targets    atomic.Pointer[discovery.View]
+	membersAt  atomic.Int64
+	targetsAt  atomic.Int64
+	leading    atomic.Bool
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	leadBefore int64
+
+	replicaRing   *ring.Ring[replica.Message]
+	discoveryRing *ring.Ring[discovery.Message]
+	rosterRing    *ring.Ring[roster.Message]
+	balanceRing   *ring.Ring[balance.Message]
+	assignerRing  *ring.Ring[ownership.Message]
+	keeperRing    *ring.Ring[ownership.Message]
+	readers       [replica.NumStreams]*replica.Reader
+	follower      *replica.Follower
+	orders        *duty.Pool
+	probes        *duty.Pool
+	peers         *duty.Pool
+	appends       *duty.Pool
+
+	pool    *upstream.Pool
+	client  *upstream.Client
+	mesh    *mesh.Client
+	ingress *ingress.Server
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// NewProcess builds a gateway VM that isn't started.
+func NewProcess(s Settings, p Platform, log logr.Logger, m *observe.Metrics, clock duty.Clock, tracer trace.Tracer) *Process {
+	n := &Process{
+		settings: s, platform: p, log: log, metrics: m, clock: clock,
+		self: roster.Member{
+			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.MeshAddress, Incarnation: time.Now().UnixMilli(),
+		},
+		ledger:        ownership.NewLedger(),
+		replicaRing:   ring.New[replica.Message]("replica", stateRing, ring.Block),
+		discoveryRing: ring.New[discovery.Message]("discovery", stateRing, ring.Block),
+		rosterRing:    ring.New[roster.Message]("roster", stateRing, ring.Block),
+		balanceRing:   ring.New[balance.Message]("balance", requestRing, ring.Block),
+		assignerRing:  ring.New[ownership.Message]("assigner", stateRing, ring.Block),
+		keeperRing:    ring.New[ownership.Message]("keeper", stateRing, ring.Block),
+		orders:        duty.NewPool("orders", orderWorkers, poolRing),
+		probes:        duty.NewPool("probes", probeWorkers, poolRing),
+		peers:         duty.NewPool("peers", peerWorkers, poolRing),
+		appends:       duty.NewPool("appends", 2, poolRing),
+	}
+	n.pool = upstream.NewPool(func() { m.Count("connections_opened") })
+	n.client = upstream.NewClient(n.pool, p.Dialect())
+	n.mesh = mesh.NewClient(clock)
+	for i := range n.readers {
+		n.readers[i] = replica.NewReader(replica.Stream(i), p, n.replicaRing, clock, log)
+	}
+	n.follower = replica.NewFollower(n.source, n.replicaRing, clock, log)
+	n.ingress = ingress.NewServer(ingress.Options{
+		Routes: &n.routes, Balancer: &asker{n}, Upstream: n.client, Dialect: p.Dialect(),
+		Clock: clock, Log: log, Metrics: m, Tracer: tracer,
+	})
+	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.keeperRing} {
+		m.Ring(r)
+	}
+	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
+		m.Pool(p.Ring())
+	}
+	return n
+}
+
+// startDuties starts all duties and pools.
+func (n *Process) startDuties() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	random := rand.New(rand.NewPCG(uint64(n.self.Incarnation), uint64(len(n.self.VM))))
+	n.run(ctx, duty.New("replica", n.clock, n.replicaRing, replica.New(), n.emitReplica, replica.Message(replica.Tick{}), replicaTick).Run)
+	n.run(ctx, duty.New("discovery", n.clock, n.discoveryRing, discovery.NewDuty(), n.emitDiscovery, discovery.Message(discovery.Tick{}), discoveryTick).Run)
+	n.run(ctx, duty.New("roster", n.clock, n.rosterRing, roster.NewDuty(n.self), n.emitRoster, roster.Message(roster.Tick{}), 0).Run)
+	n.run(ctx, duty.New("balance", n.clock, n.balanceRing, balance.New(n.settings.FailureDomain, n.settings.Retry, random),
+		n.emitBalance, balance.Message(balance.Tick{}), tickInterval).Run)
+	assigner := ownership.NewAssigner(ownership.Lead{VM: n.self.VM, Incarnation: n.self.Incarnation})
+	n.run(ctx, duty.New("assigner", n.clock, n.assignerRing, &leadWatch{assigner, &n.leading}, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run)
+	n.run(ctx, duty.New("keeper", n.clock, n.keeperRing, ownership.NewKeeper(), n.emitKeeper, ownership.Message(ownership.Tick{}), tickInterval).Run)
+	for _, r := range n.readers {
+		n.run(ctx, r.Run)
+	}
+	n.run(ctx, n.follower.Run)
+	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
+		for range p.Size() {
+			n.run(ctx, p.Run)
+		}
+	}
+	n.every(ctx, reportInterval, n.report)
+	n.every(ctx, sweepInterval, func(context.Context) { n.pool.Sweep() })
+	n.every(ctx, time.Second, n.tickRoster)
+	n.every(ctx, readinessInterval, n.checkReady)
+}
+
+func (n *Process) run(ctx context.Context, f func(context.Context)) {
+	n.wait.Add(1)
+	go func() {
+		defer n.wait.Done()
+		f(ctx)
+	}()
+}
+
+func (n *Process) every(ctx context.Context, d time.Duration, f func(context.Context)) {
+	n.run(ctx, func(ctx context.Context) {
+		t := time.NewTicker(d)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				f(ctx)
+			}
+		}
+	})
+}
+
+// leadWatch shows outside of the duty whether the VM is the assigner.
+type leadWatch struct {
+	*ownership.Assigner
+	leading *atomic.Bool
+}
+
+// Step implements duty.Step.
+func (w *leadWatch) Step(now core.Instant, m ownership.Message) []ownership.Output {
+	out := w.Assigner.Step(now, m)
+	w.leading.Store(w.Leading())
+	return out
+}
--- /dev/null
+++ b/internal/ownership/keeper.go
@@ -0,0 +1,270 @@
+package ownership
+
+import (
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/roster"
+)
+
+// keepersPerTarget is how many VMs renew a target's grants, so that the loss of
+// one ends none.
+const keepersPerTarget = 2
+
+// Row is a row of units of one owner with one token.
+type Row struct {
+	Service  core.Service
+	From, To int
+	Fence    int64
+}
+
+// Renew asks for the grants of a target's rows to be renewed, in order.
+type Renew struct {
+	Holder Holder
+	Rows   []Row
+}
+
+// Renewed is the result of a Renew or of a grant that the assigner ordered.
+type Renewed struct {
+	Holder Holder
+	// Refused counts rows for which the target has seen a higher token.
+	Refused int
+	// Err is the first error of transport, after which the rest was left out.
+	Err error
+	// Started is when the renewal was begun.
+	Started core.Instant
+}
+
+// Missing says that a target refused a request because it doesn't hold the
+// key that the ledger gives it.
+type Missing struct {
+	Service core.Service
+	Unit    int
+	Target  core.Target
+}
+
+// Ordered notes that the assigner of this VM sends a grant.
+type Ordered struct{ Target core.Target }
+
+// Query asks until when a target may hold what this VM renewed. Reply has room
+// for one answer.
+type Query struct {
+	Target core.Target
+	Offset int64
+	Reply  chan<- QueryReply
+}
+
+// QueryReply is the answer to a Query.
+type QueryReply struct {
+	Applied   bool
+	Remaining time.Duration
+}
+
+// Answer sends a QueryReply.
+type Answer struct {
+	To    chan<- QueryReply
+	Reply QueryReply
+}
+
+func (Renewed) message() {}
+func (Missing) message() {}
+func (Ordered) message() {}
+func (Query) message()   {}
+func (Renew) output()    {}
+func (Answer) output()   {}
+
+// Keeper is the state machine that renews grants.
+type Keeper struct {
+	ledger  *View
+	asOf    core.Instant
+	targets *discovery.View
+	members *roster.View
+	kept    map[core.Target]*kept
+	stale   bool
+}
+
+// kept is what the keeper knows of a target.
+type kept struct {
+	holder Holder
+	rows   []Row
+	// keeper is set if this VM is one of those that renew.
+	keeper bool
+	// fence is the highest token that was sent.
+	fence   int64
+	due     core.Instant
+	running bool
+	// sent is when the last grant may have left.
+	sent core.Instant
+	// failed is set after a renewal without an answer.
+	failed bool
+}
+
+// NewKeeper returns a keeper of nothing.
+func NewKeeper() *Keeper {
+	return &Keeper{ledger: &View{}, targets: &discovery.View{}, kept: make(map[core.Target]*kept)}
+}
+
+// Step implements duty.Step.
+func (k *Keeper) Step(now core.Instant, m Message) []Output {
+	switch m := m.(type) {
+	case LedgerChanged:
+		changed := m.View.Next != k.ledger.Next
+		k.ledger, k.asOf = m.View, m.AsOf
+		if changed {
+			k.rebuild()
+		}
+	case TargetsChanged:
+		k.targets = m.View
+		k.rebuild()
+	case MembersChanged:
+		k.members = m.View
+		k.rebuild()
+	case Renewed:
+		return k.renewed(now, m)
+	case Missing:
+		return k.missing(now, m)
+	case Ordered:
+		k.of(m.Target).sent = now
+	case Query:
+		return []Output{Answer{To: m.Reply, Reply: k.answer(now, m)}}
+	case Tick:
+	}
+	return k.due(now)
+}
+
+func (k *Keeper) of(t core.Target) *kept {
+	s := k.kept[t]
+	if s == nil {
+		s = &kept{}
+		k.kept[t] = s
+	}
+	return s
+}
+
+// rebuild lists the rows of each holder by the ledger.
+func (k *Keeper) rebuild() {
+	if k.members == nil {
+		return
+	}
+	for _, s := range k.kept {
+		s.rows = nil
+	}
+	for name, cells := range k.ledger.Services {
+		for u := 0; u < Units; u++ {
+			c := cells[u]
+			if c.Owner.None() || c.Moving() {
+				continue
+			}
+			from := u
+			for u+1 < Units && cells[u+1] == c {
+				u++
+			}
+			s := k.of(c.Owner.Target)
+			if !s.holder.Same(c.Owner) {
+				s.holder, s.fence, s.due = c.Owner, 0, 0
+			}
+			s.rows = append(s.rows, Row{Service: name, From: from, To: u, Fence: c.Fence})
+		}
+	}
+	for id, s := range k.kept {
+		var domain core.FailureDomain
+		if t, ok := k.targets.Targets[id]; ok {
+			domain = t.FailureDomain
+		}
+		s.keeper = len(s.rows) > 0 && k.members.Rank(string(id), domain) < keepersPerTarget
+	}
+}
+
+// due renews what is due. A process that was replaced holds nothing and is not
+// renewed.
+func (k *Keeper) due(now core.Instant) []Output {
+	if k.asOf == 0 || now.Sub(k.asOf) > MaxStale {
+		if k.stale || k.asOf == 0 {
+			return nil
+		}
+		k.stale = true
+		return []Output{Event{Text: "ledger too old, renewals stopped", Fields: []any{"age_ms", now.Sub(k.asOf).Milliseconds()}}}
+	}
+	k.stale = false
+	var out []Output
+	for id, s := range k.kept {
+		if !s.keeper || s.running || len(s.rows) == 0 {
+			continue
+		}
+		newest := newestFence(s.rows)
+		if now.Before(s.due) && newest <= s.fence {
+			continue
+		}
+		if t, ok := k.targets.Targets[id]; ok && t.Born != s.holder.Born {
+			continue
+		}
+		out = append(out, k.renew(now, s, s.rows))
+		s.fence = newest
+	}
+	return out
+}
+
+func (k *Keeper) renew(now core.Instant, s *kept, rows []Row) Output {
+	s.running, s.sent, s.due = true, now, now.Add(RenewInterval)
+	return Renew{Holder: s.holder, Rows: rows}
+}
+
+func newestFence(rows []Row) int64 {
+	var newest int64
+	for _, r := range rows {
+		newest = max(newest, r.Fence)
+	}
+	return newest
+}
+
+func (k *Keeper) renewed(now core.Instant, m Renewed) []Output {
+	s := k.of(m.Holder.Target)
+	// The last order may have left as late as now.
+	s.running, s.sent = false, now
+	lost := m.Err != nil
+	if lost == s.failed && m.Refused == 0 {
+		return nil
+	}
+	changed := lost != s.failed
+	s.failed = lost
+	fields := []any{"target", m.Holder.Target, "rows", len(s.rows), "refused", m.Refused, "ledger_end", k.ledger.Next, "ledger_age_ms", now.Sub(k.asOf).Milliseconds()}
+	switch {
+	case lost:
+		return []Output{Event{Text: "grants not renewed", Fields: append(fields, "reason", m.Err.Error())}}
+	case changed:
+		return []Output{Event{Text: "grants renewed again", Fields: fields}}
+	}
+	return []Output{Event{Text: "target has seen a higher token", Fields: fields}}
+}
+
+// missing renews a row at once, whoever its keepers are.
+func (k *Keeper) missing(now core.Instant, m Missing) []Output {
+	s := k.kept[m.Target]
+	if s == nil || s.running || now.Sub(k.asOf) > MaxStale || now.Sub(s.sent) < RenewInterval/4 {
+		return nil
+	}
+	if t, ok := k.targets.Targets[m.Target]; ok && t.Born != s.holder.Born {
+		return nil
+	}
+	for _, r := range s.rows {
+		if r.Service == m.Service && r.From <= m.Unit && m.Unit <= r.To {
+			return []Output{k.renew(now, s, []Row{r})}
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) answer(now core.Instant, q Query) QueryReply {
+	if k.ledger.Next < q.Offset {
+		return QueryReply{}
+	}
+	s := k.kept[q.Target]
+	if s == nil || s.sent == 0 {
+		return QueryReply{Applied: true}
+	}
+	if s.running {
+		return QueryReply{}
+	}
+	return QueryReply{Applied: true, Remaining: max(0, HoldOnAnyClock()-now.Sub(s.sent))}
+}
--- /dev/null
+++ b/internal/ownership/plan.go
@@ -0,0 +1,391 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/replica"
+)
+
+const (
+	// unreachableTime is for how long a report of failed connections counts.
+	unreachableTime = 3 * time.Second
+	// Load moves from a target whose slots are busier than busyFloor and than
+	// busyFactor times the mean, in steps of at most maxMoves units a round. The
+	// factor leaves the spread that random arrivals make.
+	busyFloor  = 0.45
+	busyFactor = 1.25
+	maxMoves   = 16
+	// balanceInterval is the time between rounds: two reports of load.
+	balanceInterval = 1500 * time.Millisecond
+	// restTime is how long a unit stays after a move, so that its load is
+	// measured at the new owner first.
+	restTime = 4 * time.Second
+	// minRate is the request rate under which a service's load says nothing.
+	minRate = 20.0
+	// joinShare is the part of a fair share of the load that a target without
+	// keys gets at once. The rest follows by measurement.
+	joinShare = 0.7
+	// coldWeight is the part of its capacity that counts of a cold target.
+	coldWeight = 0.15
+)
+
+// change is a new state of a unit. A fence of 0 stands for the token of the
+// append.
+type change struct {
+	service core.Service
+	unit    int
+	cell    Cell
+}
+
+// plan returns the changes that are due, those that restore service first.
+func (a *Assigner) plan(now core.Instant) ([]change, string) {
+	var names []core.Service
+	for name, s := range a.services {
+		if s.DividedByKey {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	for _, name := range names {
+		b := a.newBalance(now, name)
+		if len(b.targets) == 0 {
+			continue
+		}
+		if a.ledger.Services[name] == nil {
+			if a.readyToDivide(now, name) {
+				return b.first(), "first assignment"
+			}
+			continue
+		}
+		if c := b.repair(); len(c) > 0 {
+			return c, "owner leaving or lost"
+		}
+	}
+	if now.Sub(a.balanced) < balanceInterval {
+		return nil, ""
+	}
+	a.balanced = now
+	for _, name := range names {
+		if a.ledger.Services[name] == nil {
+			continue
+		}
+		b := a.newBalance(now, name)
+		if c := b.join(); len(c) > 0 {
+			a.noteMoves(now, c)
+			return c, "target without keys"
+		}
+		if c := b.level(); len(c) > 0 {
+			a.noteMoves(now, c)
+			return c, "load"
+		}
+	}
+	return nil, ""
+}
+
+func (a *Assigner) readyToDivide(now core.Instant, s core.Service) bool {
+	if now.Sub(a.firstSeen[s]) >= maxFirstWait {
+		return true
+	}
+	return now.Sub(a.lastChange[s]) >= settleTime
+}
+
+func (a *Assigner) noteMoves(now core.Instant, list []change) {
+	for _, c := range list {
+		m := a.moved[c.service]
+		if m == nil {
+			m = new([Units]core.Instant)
+			a.moved[c.service] = m
+		}
+		m[c.unit] = now
+	}
+}
+
+// balance is the picture of one service on which a plan is made.
+type balance struct {
+	service core.Service
+	cells   *Cells
+	copied  bool
+	moved   *[Units]core.Instant
+	now     core.Instant
+	loads   *[Units]float64
+	total   float64
+	targets []*seat
+	byID    map[core.Target]*seat
+}
+
+// seat is a target that may own units.
+type seat struct {
+	holder Holder
+	// capacity is how many requests a second keep all slots busy.
+	capacity float64
+	load     float64
+	units    int
+	cold     bool
+}
+
+func (s *seat) busy() float64 { return s.load / s.capacity }
+
+func (a *Assigner) newBalance(now core.Instant, name core.Service) *balance {
+	b := &balance{service: name, cells: a.ledger.Services[name], moved: a.moved[name], now: now, byID: make(map[core.Target]*seat)}
+	b.loads, b.total = a.loads.units(name)
+	var mean time.Duration
+	measured := 0
+	for _, t := range a.targets.ByService[name] {
+		if d := a.loads.serviceTime(t.ID); d > 0 {
+			mean += d
+			measured++
+		}
+	}
+	if measured == 0 {
+		mean = defaultServiceTime
+	} else {
+		mean /= time.Duration(measured)
+	}
+	for _, t := range a.targets.ByService[name] {
+		if !a.eligible(now, t) {
+			continue
+		}
+		d := a.loads.serviceTime(t.ID)
+		if d == 0 {
+			d = mean
+		}
+		s := &seat{
+			holder:   Holder{Target: t.ID, Born: t.Born, Address: t.Address},
+			capacity: float64(max(t.Slots, 1)) / d.Seconds(),
+			cold:     t.ColdUntil.After(now),
+		}
+		if s.cold {
+			s.capacity *= coldWeight
+		}
+		b.targets = append(b.targets, s)
+		b.byID[t.ID] = s
+	}
+	sort.Slice(b.targets, func(i, j int) bool { return b.targets[i].holder.Target < b.targets[j].holder.Target })
+	if b.cells != nil {
+		for u, c := range b.cells {
+			if s := b.owner(c); s != nil {
+				s.load += b.loads[u]
+				s.units++
+			}
+		}
+	}
+	return b
+}
+
+func (a *Assigner) eligible(now core.Instant, t *discovery.Target) bool {
+	lost, ok := a.unreachable[t.ID]
+	return t.Usable() && t.Address != "" && (!ok || now.Sub(lost) > unreachableTime)
+}
+
+// owner returns the seat of the process that owns a unit, or nil.
+func (b *balance) owner(c Cell) *seat {
+	s := b.byID[c.Owner.Target]
+	if s == nil || s.holder.Born != c.Owner.Born {
+		return nil
+	}
+	return s
+}
+
+// least returns the seat with the lowest load for its capacity.
+func (b *balance) least() *seat {
+	best := b.targets[0]
+	for _, s := range b.targets[1:] {
+		if s.busy() < best.busy() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (b *balance) give(u int, s *seat) change {
+	s.load += b.loads[u]
+	s.units++
+	return change{service: b.service, unit: u, cell: Cell{Owner: s.holder}}
+}
+
+// first divides all units in short rows, so that neighbouring busy keys end up
+// at different targets.
+func (b *balance) first() []change {
+	var out []change
+	for u := 0; u < Units; u += firstRow {
+		s := b.least()
+		for v := u; v < u+firstRow; v++ {
+			out = append(out, b.give(v, s))
+		}
+	}
+	return out
+}
+
+// repair moves every unit whose owner can't keep it. Units that are moving
+// already wait for their move.
+func (b *balance) repair() []change {
+	var out []change
+	for u, c := range b.cells {
+		if c.Moving() || b.owner(c) != nil {
+			continue
+		}
+		n := b.give(u, b.least())
+		n.cell.Previous = c.Owner
+		if c.Owner.None() {
+			n.cell.Previous = Holder{}
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// join gives units to targets that own none.
+func (b *balance) join() []change {
+	var out []change
+	for _, s := range b.targets {
+		if s.units > 0 || s.cold {
+			continue
+		}
+		want := joinShare * b.meanBusy() * s.capacity
+		for len(out) < Units/len(b.targets) && s.load < want {
+			u := b.largestUnit(b.busiest(), want-s.load)
+			if u < 0 {
+				break
+			}
+			out = append(out, b.move(u, s))
+		}
+		if s.units == 0 {
+			if u := b.largestUnit(b.busiest(), b.total); u >= 0 {
+				out = append(out, b.move(u, s))
+			}
+		}
+	}
+	return out
+}
+
+// level moves the busiest units that fit from the busiest to the least busy
+// target: most load for each key moved.
+func (b *balance) level() []change {
+	var out []change
+	if b.total < minRate {
+		return nil
+	}
+	mean := b.meanBusy()
+	for len(out) < maxMoves {
+		from, to := b.busiest(), b.leastWarm()
+		if to == nil || from.busy() < busyFloor || from.busy() < busyFactor*mean || to.busy() > mean {
+			break
+		}
+		gap := min(from.load-mean*from.capacity, mean*to.capacity-to.load)
+		u := b.largestUnit(from, gap)
+		if u < 0 {
+			break
+		}
+		out = append(out, b.move(u, to))
+	}
+	return out
+}
+
+func (b *balance) move(u int, to *seat) change {
+	c := b.cells[u]
+	if s := b.owner(c); s != nil {
+		s.load -= b.loads[u]
+		s.units--
+	}
+	n := b.give(u, to)
+	n.cell.Previous = c.Owner
+	if !b.copied {
+		// The plan's own picture changes, so that the unit is not moved twice.
+		cells := *b.cells
+		b.cells, b.copied = &cells, true
+	}
+	b.cells[u] = n.cell
+	return n
+}
+
+func (b *balance) meanBusy() float64 {
+	var load, capacity float64
+	for _, s := range b.targets {
+		load += s.load
+		capacity += s.capacity
+	}
+	return load / capacity
+}
+
+func (b *balance) busiest() *seat {
+	best := b.targets[0]
+	for _, s := range b.targets[1:] {
+		if s.busy() > best.busy() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (b *balance) leastWarm() *seat {
+	var best *seat
+	for _, s := range b.targets {
+		if !s.cold && (best == nil || s.busy() < best.busy()) {
+			best = s
+		}
+	}
+	return best
+}
+
+// largestUnit returns the busiest unit of a seat with a load up to most, or -1.
+func (b *balance) largestUnit(s *seat, most float64) int {
+	best := -1
+	for u, c := range b.cells {
+		if c.Moving() || b.owner(c) != s || b.loads[u] > most {
+			continue
+		}
+		if b.moved != nil && b.moved[u] != 0 && b.now.Sub(b.moved[u]) < restTime {
+			continue
+		}
+		if best < 0 || b.loads[u] > b.loads[best] {
+			best = u
+		}
+	}
+	return best
+}
+
+// encode returns the records of all blocks that changes touch.
+func (a *Assigner) encode(changes []change) ([]replica.Record, error) {
+	cells := make(map[core.Service]*Cells)
+	blocks := make(map[core.Service]map[int]bool)
+	for _, c := range changes {
+		if cells[c.service] == nil {
+			fresh := new(Cells)
+			if old := a.ledger.Services[c.service]; old != nil {
+				*fresh = *old
+			}
+			cells[c.service], blocks[c.service] = fresh, make(map[int]bool)
+		}
+		if c.cell.Fence == 0 {
+			// Above every earlier token: each append ends at a greater offset.
+			c.cell.Fence = a.ledger.Next + 1
+		}
+		cells[c.service][c.unit] = c.cell
+		blocks[c.service][c.unit/unitsPerBlock] = true
+	}
+	var out []replica.Record
+	for s, set := range blocks {
+		for block := range set {
+			r, err := encodeBlock(s, block, cells[s])
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+func encodeLead(l Lead) (replica.Record, error) {
+	b, err := json.Marshal(l)
+	if err != nil {
+		return replica.Record{}, fmt.Errorf("ownership: encode lead: %w", err)
+	}
+	return replica.Record{Key: leadKey, Value: b}, nil
+}
--- /dev/null
+++ b/internal/replica/copy.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"sort"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// Copy holds the streams as far as they are known. Deleted keys stay with
+// their offset, so that a follower learns of them.
+type Copy struct {
+	streams [NumStreams]stream
+}
+
+type stream struct {
+	records map[string]Record
+	next    int64
+	asOf    core.Instant
+	known   bool
+}
+
+// NewCopy returns an empty copy.
+func NewCopy() *Copy {
+	c := &Copy{}
+	for i := range c.streams {
+		c.streams[i].records = make(map[string]Record)
+	}
+	return c
+}
+
+// Apply adds a batch and returns the records that changed, by offset.
+func (c *Copy) Apply(b Batch) []Record {
+	s := &c.streams[b.Stream]
+	var changed []Record
+	seen := make(map[string]bool)
+	for _, r := range b.Records {
+		if b.Complete {
+			seen[r.Key] = true
+		}
+		if old, ok := s.records[r.Key]; ok && old.Offset >= r.Offset {
+			continue
+		}
+		s.records[r.Key] = r
+		changed = append(changed, r)
+	}
+	if b.Complete {
+		changed = append(changed, s.drop(seen, b.Next)...)
+	}
+	if b.Next > s.next {
+		s.next = b.Next
+	}
+	if b.Next >= s.next && (!s.known || b.AsOf.After(s.asOf)) {
+		s.asOf = b.AsOf
+	}
+	s.known = true
+	sort.Slice(changed, func(i, j int) bool { return changed[i].Offset < changed[j].Offset })
+	return changed
+}
+
+// drop deletes the keys that a complete batch doesn't have.
+func (s *stream) drop(seen map[string]bool, next int64) []Record {
+	var dropped []Record
+	for key, old := range s.records {
+		if seen[key] || old.Deleted || old.Offset >= next {
+			continue
+		}
+		r := Record{Key: key, Offset: next - 1, Deleted: true}
+		s.records[key] = r
+		dropped = append(dropped, r)
+	}
+	return dropped
+}
+
+// Since returns the records from an offset on, by offset.
+func (c *Copy) Since(s Stream, next int64) []Record {
+	var out []Record
+	for _, r := range c.streams[s].records {
+		if r.Offset >= next {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Offset < out[j].Offset })
+	return out
+}
+
+// Next returns how far the copy of a stream goes.
+func (c *Copy) Next(s Stream) int64 { return c.streams[s].next }
+
+// AsOf returns when the copy was last known to be the newest state, and false
+// if the stream was never read.
+func (c *Copy) AsOf(s Stream) (core.Instant, bool) { return c.streams[s].asOf, c.streams[s].known }
--- /dev/null
+++ b/internal/replica/reader.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/ring"
+)
+
+// readWait is how long the store holds a read when there is nothing new. The
+// copy's age is known no better than this.
+const readWait = 700 * time.Millisecond
+
+// Callers of the store are charged by call, so a reader pauses between reads
+// of a busy stream. The pauses bound how late a change arrives.
+var readPause = [NumStreams]time.Duration{
+	Config:  150 * time.Millisecond,
+	Targets: 250 * time.Millisecond,
+	Owners:  60 * time.Millisecond,
+	Members: 900 * time.Millisecond,
+}
+
+const (
+	// callTimeout bounds a call beyond the time that the store may hold it. A
+	// slow store answers within about 300 ms.
+	callTimeout = 800 * time.Millisecond
+	// answerDelay is how long an answer with records is taken to have been on its
+	// way, as the store doesn't say when it gave it. Ages may be wrong by the
+	// rest of callTimeout, which the assigner's waits allow for.
+	answerDelay = 200 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed read.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
+	// idlePoll is how often a reader that is off looks whether it is wanted.
+	idlePoll = 50 * time.Millisecond
+)
+
+// Reader copies one stream from the store while it is on.
+type Reader struct {
+	stream Stream
+	store  Store
+	out    *ring.Ring[Message]
+	clock  duty.Clock
+	log    logr.Logger
+	on     atomic.Bool
+	next   atomic.Int64
+	lost   bool
+}
+
+// NewReader returns a reader that is off.
+func NewReader(s Stream, store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) *Reader {
+	r := &Reader{stream: s, store: store, out: out, clock: clock, log: log}
+	r.next.Store(-1)
+	return r
+}
+
+// Turn switches the reader on or off.
+func (r *Reader) Turn(on bool) { r.on.Store(on) }
+
+// Advance moves the reader past records that came from elsewhere.
+func (r *Reader) Advance(next int64) {
+	if next > r.next.Load() {
+		r.next.Store(next)
+	}
+}
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !r.on.Load() {
+			sleep(ctx, idlePoll)
+			continue
+		}
+		busy, err := r.read(ctx)
+		if err != nil {
+			r.failed(ctx, err)
+			sleep(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		if r.lost {
+			r.lost = false
+			r.log.Info("store reachable again", "stream", r.stream.String())
+		}
+		if busy {
+			sleep(ctx, readPause[r.stream])
+		}
+	}
+}
+
+func (r *Reader) failed(ctx context.Context, err error) {
+	if errors.Is(err, ErrExpired) {
+		r.next.Store(-1)
+	}
+	if !r.lost && ctx.Err() == nil {
+		r.lost = true
+		r.log.Info("store lost", "stream", r.stream.String(), "reason", err.Error())
+	}
+}
+
+// read makes one call and reports whether it brought records.
+func (r *Reader) read(ctx context.Context) (bool, error) {
+	from := r.next.Load()
+	start := r.clock()
+	b := Batch{Stream: r.stream, Source: "store"}
+	var err error
+	if from < 0 {
+		call, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		defer cancel()
+		b.Complete = true
+		b.Records, b.Next, err = r.store.Newest(call, r.stream)
+		b.AsOf = start
+	} else {
+		call, cancel := context.WithTimeout(ctx, callTimeout+readWait)
+		defer cancel()
+		b.Records, b.Next, err = r.store.Read(call, r.stream, from, readWait)
+		if b.AsOf = start.Add(readWait); len(b.Records) > 0 {
+			b.AsOf = max(start, r.clock().Add(-answerDelay))
+		}
+	}
+	if err != nil {
+		return false, err
+	}
+	r.Advance(b.Next)
+	if err := r.out.Wait(ctx, Fetched{Batch: b}); err != nil {
+		return false, err
+	}
+	return len(b.Records) > 0, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,178 @@
+// Package roster lists the gateway VMs of the deployment. Each VM renews its
+// own record in the store; one that stops renewing is left out after a while.
+// All VMs rank each other by the same hash, so that they agree without talking
+// on who reads the store for a failure domain, who renews which target's grant
+// and who shares a cold target.
+package roster
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+const (
+	// RenewInterval is how often a VM writes its record. Calls to the store are
+	// charged, and a lost VM is noticed much sooner by those who call it.
+	RenewInterval = 8 * time.Second
+	// Expiry is two renewals and the time in which a record spreads.
+	Expiry = 20 * time.Second
+)
+
+// Member is a VM's record.
+type Member struct {
+	VM            core.VM            `json:"vm"`
+	FailureDomain core.FailureDomain `json:"failure_domain"`
+	// Address is where other VMs reach it.
+	Address string `json:"address"`
+	// Incarnation differs between processes of the same VM; a later process has
+	// a greater one.
+	Incarnation int64 `json:"incarnation"`
+}
+
+// Encode returns the record's bytes.
+func (m Member) Encode() ([]byte, error) {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("roster: encode %s: %w", m.VM, err)
+	}
+	return b, nil
+}
+
+// Decode reads a record.
+func Decode(b []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(b, &m); err != nil {
+		return Member{}, fmt.Errorf("roster: decode: %w", err)
+	}
+	if m.VM == "" || m.Address == "" {
+		return Member{}, fmt.Errorf("roster: record of VM %q at %q is incomplete", m.VM, m.Address)
+	}
+	return m, nil
+}
+
+// Roster is the state. It is not safe for concurrent use.
+type Roster struct {
+	self    Member
+	members map[core.VM]entry
+	changed bool
+}
+
+type entry struct {
+	Member
+	renewed core.Instant
+}
+
+// New returns a roster that always lists this VM itself.
+func New(self Member) *Roster {
+	return &Roster{self: self, members: make(map[core.VM]entry), changed: true}
+}
+
+// Renew notes a member's record.
+func (r *Roster) Renew(now core.Instant, m Member) {
+	old, known := r.members[m.VM]
+	if known && old.Incarnation > m.Incarnation {
+		return
+	}
+	r.members[m.VM] = entry{Member: m, renewed: now}
+	r.changed = r.changed || !known || old.Member != m
+}
+
+// Remove handles a record that was deleted.
+func (r *Roster) Remove(vm core.VM) {
+	if _, ok := r.members[vm]; ok {
+		delete(r.members, vm)
+		r.changed = true
+	}
+}
+
+// Expire leaves out the members that have not renewed. It is called only while
+// the copy of the stream is fresh, so that an outage of the store expires nobody.
+func (r *Roster) Expire(now core.Instant) {
+	for vm, e := range r.members {
+		if now.Sub(e.renewed) > Expiry {
+			delete(r.members, vm)
+			r.changed = true
+		}
+	}
+}
+
+// Changed reports whether the list differs from the last view.
+func (r *Roster) Changed() bool { return r.changed }
+
+// View returns the members by name.
+func (r *Roster) View() *View {
+	r.changed = false
+	v := &View{self: r.self, byName: make(map[core.VM]Member, len(r.members)+1)}
+	for vm, e := range r.members {
+		v.byName[vm] = e.Member
+	}
+	v.byName[r.self.VM] = r.self
+	for _, m := range v.byName {
+		v.all = append(v.all, m)
+	}
+	sort.Slice(v.all, func(i, j int) bool { return v.all[i].VM < v.all[j].VM })
+	return v
+}
+
+// View is an immutable list of the members.
+type View struct {
+	self   Member
+	all    []Member
+	byName map[core.VM]Member
+}
+
+// Size returns the number of members, this VM included.
+func (v *View) Size() int { return len(v.all) }
+
+// Self returns this VM's record.
+func (v *View) Self() Member { return v.self }
+
+// All returns the members by name.
+func (v *View) All() []Member { return v.all }
+
+// Member returns a member by name.
+func (v *View) Member(vm core.VM) (Member, bool) {
+	m, ok := v.byName[vm]
+	return m, ok
+}
+
+// Ranked returns the members in the order of their hash with a key, those of a
+// failure domain first if one is given.
+func (v *View) Ranked(key string, first core.FailureDomain) []Member {
+	type scored struct {
+		Member
+		score uint64
+	}
+	list := make([]scored, len(v.all))
+	for i, m := range v.all {
+		list[i] = scored{m, xxhash.Sum64String(key + "\x00" + string(m.VM))}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if in := a.FailureDomain == first; in != (b.FailureDomain == first) {
+			return in
+		}
+		return a.score > b.score
+	})
+	out := make([]Member, len(list))
+	for i := range list {
+		out[i] = list[i].Member
+	}
+	return out
+}
+
+// Rank returns this VM's place in Ranked.
+func (v *View) Rank(key string, first core.FailureDomain) int {
+	for i, m := range v.Ranked(key, first) {
+		if m.VM == v.self.VM {
+			return i
+		}
+	}
+	return len(v.all)
+}
--- /dev/null
+++ b/internal/routing/config.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	// Version grows with every change, not always by one.
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Route sends the requests of a host under a path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is the longest time a caller waits for an answer.
+	Timeout time.Duration
+	// LatencyObjective is the time within which an answer has its full value.
+	LatencyObjective time.Duration
+	// Priority ranks routes; 0 is the most urgent.
+	Priority int
+	// Backends are the services that share the route's requests by weight.
+	Backends []Backend
+	// MaxAttempts bounds the targets that one request may be sent to.
+	MaxAttempts int
+}
+
+// Backend is a service's part of a route.
+type Backend struct {
+	Service core.Service
+	// Weight is the share relative to the other backends of the route.
+	Weight float64
+}
+
+// Service describes the targets of a service.
+type Service struct {
+	Name       core.Service
+	HealthPath string
+	// MaxConnections bounds the connections to a target over all VMs.
+	MaxConnections int
+	// ColdStart is how long a target stays cold after its start.
+	ColdStart time.Duration
+	// ColdRate is how many requests a second a cold target bears.
+	ColdRate float64
+	// DividedByKey is set if a target runs requests only for keys it was granted.
+	DividedByKey bool
+}
+
+// Limits bound what a caller may send. Zero means no limit.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,132 @@
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+// Table finds routes and services of one configuration version.
+type Table struct {
+	version  int64
+	limits   Limits
+	hosts    map[string][]*Rule
+	services map[core.Service]Service
+}
+
+// Rule is a route with the state that divides its requests among backends.
+type Rule struct {
+	Route
+	split *splitter
+}
+
+// NewTable builds the table of a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{
+		version: c.Version, limits: c.Limits,
+		hosts:    make(map[string][]*Rule),
+		services: make(map[core.Service]Service, len(c.Services)),
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], &Rule{Route: r, split: newSplitter(r.Backends)})
+	}
+	for _, rules := range t.hosts {
+		sort.SliceStable(rules, func(i, j int) bool { return len(rules[i].Prefix) > len(rules[j].Prefix) })
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds on what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service of the configuration.
+func (t *Table) Service(name core.Service) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns all services by name.
+func (t *Table) Services() map[core.Service]Service { return t.services }
+
+// Find returns the rule with the longest prefix of the path on that host, or
+// nil. A port in the host is ignored.
+func (t *Table) Find(host, path string) *Rule {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick returns the backend that is due by weight.
+func (r *Rule) Pick() core.Service { return r.split.next() }
+
+// splitter divides requests by weight: each call goes to the backend that is
+// furthest behind its share, so that shares are met within one request.
+type splitter struct {
+	mu       sync.Mutex
+	backends []Backend
+	credit   []float64
+	total    float64
+}
+
+func newSplitter(backends []Backend) *splitter {
+	s := &splitter{backends: backends, credit: make([]float64, len(backends))}
+	for _, b := range backends {
+		s.total += b.Weight
+	}
+	return s
+}
+
+func (s *splitter) next() core.Service {
+	switch len(s.backends) {
+	case 0:
+		return ""
+	case 1:
+		return s.backends[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, b := range s.backends {
+		s.credit[i] += b.Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= s.total
+	return s.backends[best].Service
+}
+
+// Holder keeps the newest table. Readers never wait for writers.
+type Holder struct {
+	table atomic.Pointer[Table]
+}
+
+// Table returns the table in force, or nil before the first configuration.
+func (h *Holder) Table() *Table { return h.table.Load() }
+
+// Apply puts a configuration in force unless it is older than or the same as
+// the one in force, and reports whether it did.
+func (h *Holder) Apply(c Config) bool {
+	now := h.table.Load()
+	if now != nil && c.Version <= now.version {
+		return false
+	}
+	return h.table.CompareAndSwap(now, NewTable(c))
+}
