--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -43,6 +43,7 @@
 	tickInterval      = 100 * time.Millisecond
 	replicaTick       = 50 * time.Millisecond
 	discoveryTick     = 200 * time.Millisecond
+	rosterTick        = 200 * time.Millisecond
 	reportInterval    = time.Second
 	sweepInterval     = time.Second
 	membersFreshAge   = 4 * time.Second
@@ -156,7 +157,7 @@
 	}
 	n.every(ctx, reportInterval, n.report)
 	n.every(ctx, sweepInterval, func(context.Context) { n.pool.Sweep() })
-	n.every(ctx, time.Second, n.tickRoster)
+	n.every(ctx, rosterTick, n.tickRoster)
 	n.every(ctx, readinessInterval, n.checkReady)
 }
 
--- a/internal/roster/step.go
+++ b/internal/roster/step.go
@@ -71,7 +71,8 @@
 		d.written = now
 		out = append(out, Write{Member: d.self})
 	}
-	if d.roster.Changed() {
+	// A copy that is read whole brings many records; they make one view.
+	if _, tick := m.(Tick); tick && d.roster.Changed() {
 		out = append(out, Updated{View: d.roster.View()})
 	}
 	return out
