ownership, ingress: orders name their process; stop waits for late connections

Orders now carry the expected process, and a target that may have restarted under its id is not renewed until the directory confirms it. Cause of LOST after SIGTERM: with the processor share used up, a connection was accepted in the same instant as the listener closed; the server closed it although its request had just been passed on. Ruled out: idle connections (they had been quiet for 300 ms).

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,9 +33,10 @@
 	done   chan struct{}
 	once   sync.Once
 	limit  deadline
-	// served counts the requests of the connection that are in progress.
-	busy atomic.Int32
-	// last is when the connection last had a request, in Unix nanoseconds.
+	// busy is set while a request of the connection is in progress.
+	busy atomic.Bool
+	// last is when the connection last brought bytes or ended a request, in Unix
+	// nanoseconds.
 	last atomic.Int64
 }
 
@@ -58,6 +59,7 @@
 		b := make([]byte, readChunk)
 		n, err := c.Conn.Read(b)
 		if n > 0 {
+			c.last.Store(time.Now().UnixNano())
 			select {
 			case c.chunks <- b[:n]:
 			case <-c.done:
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -107,9 +107,9 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, n)
 	case http.StateActive:
-		n.busy.Store(1)
+		n.busy.Store(true)
 	case http.StateIdle:
-		n.busy.Store(0)
+		n.busy.Store(false)
 		n.last.Store(time.Now().UnixNano())
 	}
 }
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -22,9 +22,11 @@
 	s.stopping.Store(true)
 	pause(ctx, announceTime)
 	_ = s.inner.Close()
-	for ctx.Err() == nil {
-		if s.closeIdle() == 0 {
-			break
+	// A connection may have been accepted just before the listener closed, with
+	// its request still to be read when the VM's processor share was used up.
+	for quiet := time.Duration(0); quiet < quietTime && ctx.Err() == nil; quiet += stopPoll {
+		if s.closeIdle() > 0 {
+			quiet = 0
 		}
 		pause(ctx, stopPoll)
 	}
@@ -38,7 +40,7 @@
 	open := 0
 	for c := range s.conns {
 		idle := time.Since(time.Unix(0, c.last.Load()))
-		if c.busy.Load() != 0 || len(c.chunks) > 0 || idle < quietTime {
+		if c.busy.Load() || len(c.chunks) > 0 || idle < quietTime {
 			open++
 			continue
 		}
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -44,6 +44,7 @@
 	case replica.Targets:
 		n.targetsAt.Store(int64(c.AsOf))
 		_ = n.discoveryRing.Put(ctx, discovery.Current{AsOf: c.AsOf})
+		_ = n.keeperRing.Put(ctx, ownership.DirectoryRead{AsOf: c.AsOf})
 		for _, r := range c.Records {
 			n.targetRecord(ctx, r)
 		}
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -146,7 +146,13 @@
 func (n *Process) renew(ctx context.Context, o ownership.Renew) {
 	result := ownership.Renewed{Holder: o.Holder, Started: n.clock()}
 	ok := n.submit(ctx, n.orders.Submit, func(ctx context.Context) {
+		if o.Verify {
+			result.Restarted, result.Err = n.restarted(ctx, o.Holder)
+		}
 		for _, row := range o.Rows {
+			if result.Restarted || result.Err != nil {
+				break
+			}
 			if n.clock().Sub(result.Started) > ownership.RenewInterval {
 				break // the rest is due again
 			}
@@ -155,7 +161,7 @@
 			cancel()
 			if err != nil {
 				n.metrics.Count("grants_failed")
-				result.Err = err
+				result.Err, result.Ended = err, errors.Is(err, ErrOtherProcess)
 				break
 			}
 			n.metrics.Count("grants")
@@ -171,6 +177,24 @@
 	}
 }
 
+// restarted reports whether a target is cold, as it is after a restart.
+func (n *Process) restarted(ctx context.Context, h ownership.Holder) (bool, error) {
+	table := n.routes.Table()
+	targets := n.targets.Load()
+	if table == nil || targets == nil || targets.Targets[h.Target] == nil {
+		return false, nil // the directory has nothing to ask with; renewing is all that can be done
+	}
+	service, _ := table.Service(targets.Targets[h.Target].Service)
+	call, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	n.metrics.Count("probes")
+	a, err := n.client.Health(call, h.Address, service.HealthPath)
+	if err != nil {
+		return false, err
+	}
+	return n.platform.Dialect().Cold(a.Header) > 0, nil
+}
+
 // settle asks every member; those that give no answer are asked again.
 func (n *Process) settle(ctx context.Context, o ownership.Settle) {
 	for _, m := range o.Members {
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -23,6 +23,9 @@
 type Renew struct {
 	Holder Holder
 	Rows   []Row
+	// Verify asks to make sure first that the target was not restarted lately.
+	// One that started again under its id must not get the old grant.
+	Verify bool
 }
 
 // Renewed is the result of a Renew or of a grant that the assigner ordered.
@@ -30,6 +33,11 @@
 	Holder Holder
 	// Refused counts rows for which the target has seen a higher token.
 	Refused int
+	// Restarted is set if the target is cold, as after a restart. Nothing was
+	// renewed then.
+	Restarted bool
+	// Ended is set if another process answered.
+	Ended bool
 	// Err is the first error of transport, after which the rest was left out.
 	Err error
 	// Started is when the renewal was begun.
@@ -47,6 +55,9 @@
 // Ordered notes that the assigner of this VM sends a grant.
 type Ordered struct{ Target core.Target }
 
+// DirectoryRead tells that the registrations were the newest at a time.
+type DirectoryRead struct{ AsOf core.Instant }
+
 // Query asks until when a target may hold what this VM renewed. Reply has room
 // for one answer.
 type Query struct {
@@ -67,12 +78,13 @@
 	Reply QueryReply
 }
 
-func (Renewed) message() {}
-func (Missing) message() {}
-func (Ordered) message() {}
-func (Query) message()   {}
-func (Renew) output()    {}
-func (Answer) output()   {}
+func (Renewed) message()       {}
+func (Missing) message()       {}
+func (Ordered) message()       {}
+func (DirectoryRead) message() {}
+func (Query) message()         {}
+func (Renew) output()          {}
+func (Answer) output()         {}
 
 // Keeper is the state machine that renews grants.
 type Keeper struct {
@@ -81,7 +93,9 @@
 	targets *discovery.View
 	members *roster.View
 	kept    map[core.Target]*kept
-	stale   bool
+	// directory is the time as of which the registrations are the newest.
+	directory core.Instant
+	stale     bool
 }
 
 // kept is what the keeper knows of a target.
@@ -98,8 +112,24 @@
 	sent core.Instant
 	// failed is set after a renewal without an answer.
 	failed bool
+	// confirmed is when a renewal was last answered.
+	confirmed core.Instant
+	// doubted is when the target was last seen cold, as after a restart.
+	doubted core.Instant
+	// ended is set once another process has the target's address.
+	ended bool
 }
 
+const (
+	// confirmedTime is for how long an answered renewal shows that the process
+	// is still the same: two renewals of a keeper.
+	confirmedTime = 2*RenewInterval + RenewInterval/2
+	// doubtTime is how much later than a doubt the directory must have been read
+	// to settle it: a restarted target registers within a second, and one that
+	// can't reach the directory is missing there after three.
+	doubtTime = 4 * time.Second
+)
+
 // NewKeeper returns a keeper of nothing.
 func NewKeeper() *Keeper {
 	return &Keeper{ledger: &View{}, targets: &discovery.View{}, kept: make(map[core.Target]*kept)}
@@ -126,6 +156,8 @@
 		return k.missing(now, m)
 	case Ordered:
 		k.of(m.Target).sent = now
+	case DirectoryRead:
+		k.directory = max(k.directory, m.AsOf)
 	case Query:
 		return []Output{Answer{To: m.Reply, Reply: k.answer(now, m)}}
 	case Tick:
@@ -162,7 +194,7 @@
 			}
 			s := k.of(c.Owner.Target)
 			if !s.holder.Same(c.Owner) {
-				s.holder, s.fence, s.due = c.Owner, 0, 0
+				*s = kept{holder: c.Owner, running: s.running, sent: s.sent}
 			}
 			s.rows = append(s.rows, Row{Service: name, From: from, To: u, Fence: c.Fence})
 		}
@@ -196,18 +228,37 @@
 		if now.Before(s.due) && newest <= s.fence {
 			continue
 		}
-		if t, ok := k.targets.Targets[id]; ok && t.Born != s.holder.Born {
+		if !k.same(id, s) {
 			continue
 		}
-		out = append(out, k.renew(now, s, s.rows))
+		verify := s.confirmed != 0 && now.Sub(s.confirmed) > confirmedTime || s.doubted != 0
+		out = append(out, k.renew(now, s, s.rows, verify))
 		s.fence = newest
 	}
 	return out
 }
 
-func (k *Keeper) renew(now core.Instant, s *kept, rows []Row) Output {
+// same reports whether the target's process is, for all that is known, the one
+// that the ledger names.
+func (k *Keeper) same(id core.Target, s *kept) bool {
+	if t, ok := k.targets.Targets[id]; ok && t.Born != s.holder.Born {
+		return false
+	}
+	if s.ended {
+		return false
+	}
+	if s.doubted != 0 && k.directory.Sub(s.doubted) < doubtTime {
+		return false
+	}
+	return true
+}
+
+func (k *Keeper) renew(now core.Instant, s *kept, rows []Row, verify bool) Output {
 	s.running, s.sent, s.due = true, now, now.Add(RenewInterval)
-	return Renew{Holder: s.holder, Rows: rows}
+	if s.doubted != 0 {
+		s.doubted, verify = 0, false // settled by the directory
+	}
+	return Renew{Holder: s.holder, Rows: rows, Verify: verify}
 }
 
 func newestFence(rows []Row) int64 {
@@ -222,7 +273,20 @@
 	s := k.of(m.Holder.Target)
 	// The last order may have left as late as now.
 	s.running, s.sent = false, now
+	if !s.holder.Same(m.Holder) {
+		return nil
+	}
+	if m.Ended {
+		s.ended = true
+	}
+	if m.Restarted {
+		s.doubted = now
+		return []Output{Event{Text: "target may have restarted, grants not renewed", Fields: []any{"target", m.Holder.Target, "born", m.Holder.Born, "directory_age_ms", now.Sub(k.directory).Milliseconds()}}}
+	}
 	lost := m.Err != nil
+	if !lost {
+		s.confirmed = now
+	}
 	if lost == s.failed && m.Refused == 0 {
 		return nil
 	}
@@ -244,12 +308,12 @@
 	if s == nil || s.running || now.Sub(k.asOf) > MaxStale || now.Sub(s.sent) < RenewInterval/4 {
 		return nil
 	}
-	if t, ok := k.targets.Targets[m.Target]; ok && t.Born != s.holder.Born {
+	if !k.same(m.Target, s) {
 		return nil
 	}
 	for _, r := range s.rows {
 		if r.Service == m.Service && r.From <= m.Unit && m.Unit <= r.To {
-			return []Output{k.renew(now, s, []Row{r})}
+			return []Output{k.renew(now, s, []Row{r}, true)}
 		}
 	}
 	return nil
