--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -12,10 +12,10 @@
 	// was out of reach may take to come back after its return: the platform
 	// states about 2 s.
 	returnDelay = 2300 * time.Millisecond
-	// outageAge is the age of the last read from which the directory counts as
-	// out of reach. Targets register every second, and an entry lapses after
-	// three missed registrations, so shorter gaps can't make one lapse.
-	outageAge = 1500 * time.Millisecond
+	// outageAge is the time without word from the directory from which it counts
+	// as out of reach. An entry lapses after some 2.6 s of silence, and a VM hears
+	// of the directory at least every 2 s while all is well.
+	outageAge = 2500 * time.Millisecond
 )
 
 // Entry is a target's registration.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -35,18 +35,43 @@
 	limit  deadline
 	// busy is set while a request of the connection is in progress.
 	busy atomic.Bool
-	// last is when the connection last brought bytes or ended a request, in Unix
-	// nanoseconds.
-	last atomic.Int64
+	// mu orders the arrival of bytes and the decision to close an idle
+	// connection: bytes that come later are never taken for a request.
+	mu      sync.Mutex
+	closing bool
+	// last is when the connection last brought bytes or ended a request.
+	last time.Time
 }
 
 func newConn(c net.Conn) *conn {
 	n := &conn{Conn: c, chunks: make(chan []byte, readAhead), done: make(chan struct{})}
 	n.limit.cond = make(chan struct{})
-	n.last.Store(time.Now().UnixNano())
+	n.last = time.Now()
 	return n
 }
 
+// touch notes that the connection is in use, and reports false if it is being
+// closed.
+func (c *conn) touch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = time.Now()
+	return !c.closing
+}
+
+// closeIfIdle closes the connection if it was not in use for a while, and
+// reports whether it did.
+func (c *conn) closeIfIdle(after time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy.Load() || len(c.chunks) > 0 || time.Since(c.last) < after {
+		return false
+	}
+	c.closing = true
+	_ = c.Close()
+	return true
+}
+
 // start begins to read ahead; cancel is called at the connection's end.
 func (c *conn) start(cancel context.CancelCauseFunc) {
 	c.cancel = cancel
@@ -59,7 +84,9 @@
 		b := make([]byte, readChunk)
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.last.Store(time.Now().UnixNano())
+			if !c.touch() {
+				return
+			}
 			select {
 			case c.chunks <- b[:n]:
 			case <-c.done:
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -110,7 +110,7 @@
 		n.busy.Store(true)
 	case http.StateIdle:
 		n.busy.Store(false)
-		n.last.Store(time.Now().UnixNano())
+		n.touch()
 	}
 }
 
@@ -126,7 +126,8 @@
 
 // Serve serves until Stop.
 func (s *Server) Serve() error {
-	if err := s.server.Serve(listener{s.inner}); !errors.Is(err, http.ErrServerClosed) {
+	err := s.server.Serve(listener{s.inner})
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("ingress: %w", err)
 	}
 	return nil
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -39,12 +39,9 @@
 	defer s.mu.Unlock()
 	open := 0
 	for c := range s.conns {
-		idle := time.Since(time.Unix(0, c.last.Load()))
-		if c.busy.Load() || len(c.chunks) > 0 || idle < quietTime {
+		if !c.closeIfIdle(quietTime) {
 			open++
-			continue
 		}
-		go func() { _ = c.Close() }()
 	}
 	return open
 }
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -36,6 +36,8 @@
 }
 
 func (n *Process) changed(ctx context.Context, c replica.Changed) {
+	// Word from any stream shows that the store can be reached.
+	_ = n.discoveryRing.Put(ctx, discovery.Current{AsOf: c.AsOf})
 	switch c.Stream {
 	case replica.Config:
 		for _, r := range c.Records {
@@ -43,7 +45,6 @@
 		}
 	case replica.Targets:
 		n.targetsAt.Store(int64(c.AsOf))
-		_ = n.discoveryRing.Put(ctx, discovery.Current{AsOf: c.AsOf})
 		_ = n.keeperRing.Put(ctx, ownership.DirectoryRead{AsOf: c.AsOf})
 		for _, r := range c.Records {
 			n.targetRecord(ctx, r)
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -116,9 +116,7 @@
 	n.pool = upstream.NewPool(func() { m.Count("connections_opened") })
 	n.client = upstream.NewClient(n.pool, p.Dialect())
 	n.mesh = mesh.NewClient(clock)
-	for i := range n.readers {
-		n.readers[i] = replica.NewReader(replica.Stream(i), p, n.replicaRing, clock, log)
-	}
+	n.readers = replica.NewReaders(p, n.replicaRing, clock, log)
 	n.follower = replica.NewFollower(n.source, n.replicaRing, clock, log)
 	n.ingress = ingress.NewServer(ingress.Options{
 		Routes: &n.routes, Balancer: &asker{n}, Upstream: n.client, Dialect: p.Dialect(),
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -187,7 +187,7 @@
 	if a.appending || !a.fresh(now) {
 		return out
 	}
-	changes := a.settledCells()
+	changes := a.settledCells(now)
 	reason := "moves done"
 	if len(changes) == 0 {
 		changes, reason = a.plan(now)
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -31,6 +31,8 @@
 	busy    bool
 	retryAt core.Instant
 	grants  int
+	// finished is when the owner got the units.
+	finished core.Instant
 	// unreachable is set once the previous holder gave no answer.
 	unreachable bool
 	askedAt     core.Instant
@@ -152,7 +154,7 @@
 		t.retryAt = now.Add(retryOrder)
 		return nil
 	}
-	t.stage = done
+	t.stage, t.finished = done, now
 	return []Output{Event{Text: "keys moved", Fields: append(t.fields(), "granted", m.OK, "handover", t.handover != "", "took_ms", now.Sub(t.created).Milliseconds())}}
 }
 
@@ -174,9 +176,12 @@
 }
 
 // settledCells returns the units of finished moves without their previous
-// holder.
-func (a *Assigner) settledCells() []change {
+// holder, once the moves that run beside them had time to finish too.
+func (a *Assigner) settledCells(now core.Instant) []change {
 	var out []change
+	if !a.settleDue(now) {
+		return nil
+	}
 	for _, t := range a.tasks {
 		if t.stage != done {
 			continue
@@ -187,3 +192,16 @@
 	}
 	return out
 }
+
+// settleDue reports whether finished moves are to be written: when none is
+// left to wait for, or the first has waited for settleDelay.
+func (a *Assigner) settleDue(now core.Instant) bool {
+	running := false
+	for _, t := range a.tasks {
+		if t.stage == done && now.Sub(t.finished) >= settleDelay {
+			return true
+		}
+		running = running || t.stage != done
+	}
+	return !running
+}
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -11,10 +11,6 @@
 	// MaxStale is for how long a VM renews by a ledger that it can't refresh. It
 	// covers the outages of the store that the platform announces.
 	MaxStale = 20 * time.Second
-	// orderTimeout bounds a grant or release without an answer. A release waits
-	// for the work on its keys.
-	grantTimeout   = 300 * time.Millisecond
-	releaseTimeout = 1500 * time.Millisecond
 	// lateMargin covers the delay of an order on its way and the wrong ages that
 	// replica.Batch.AsOf allows for.
 	lateMargin = 300 * time.Millisecond
@@ -37,6 +33,10 @@
 	// keeps together: busy keys lie close together.
 	firstRow = 8
 
+	// settleDelay collects finished moves for one append. Requests for the keys
+	// wait meanwhile.
+	settleDelay = 40 * time.Millisecond
+
 	retryOrder  = 200 * time.Millisecond
 	retrySettle = 300 * time.Millisecond
 	maxGrants   = 4
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -17,7 +17,7 @@
 	peerTimeout = 400 * time.Millisecond
 	// followPause is the least time between two calls to the same source. It
 	// bounds a follower's share of its source's processor time.
-	followPause = 40 * time.Millisecond
+	followPause = 20 * time.Millisecond
 	// retryPause follows a call that failed or brought nothing newer.
 	retryPause = 100 * time.Millisecond
 )
@@ -106,14 +106,12 @@
 	if err != nil {
 		return false, err
 	}
-	fresh := len(batches) > 0
+	fresh := false
 	now := f.clock()
 	for _, b := range batches {
 		b.AsOf = min(b.AsOf, now)
 		b.Source = string(p.Name())
-		if b.Stream != Members && now.Sub(b.AsOf) >= staleAge {
-			fresh = false
-		}
+		fresh = fresh || now.Sub(b.AsOf) < staleAge
 		if err := f.out.Wait(ctx, Fetched{Batch: b}); err != nil {
 			return false, err
 		}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -13,15 +13,21 @@
 )
 
 // readWait is how long the store holds a read when there is nothing new. The
-// copy's age is known no better than this.
-const readWait = 700 * time.Millisecond
+// assigner writes every second, so a reader of Owners hears from the store at
+// least that often; the waits of the others only bound how many calls are made.
+var readWait = [NumStreams]time.Duration{
+	Config:  2500 * time.Millisecond,
+	Targets: 2500 * time.Millisecond,
+	Owners:  1200 * time.Millisecond,
+	Members: 2500 * time.Millisecond,
+}
 
 // Callers of the store are charged by call, so a reader pauses between reads
 // of a busy stream. The pauses bound how late a change arrives.
 var readPause = [NumStreams]time.Duration{
 	Config:  150 * time.Millisecond,
 	Targets: 250 * time.Millisecond,
-	Owners:  60 * time.Millisecond,
+	Owners:  20 * time.Millisecond,
 	Members: 900 * time.Millisecond,
 }
 
@@ -49,14 +55,25 @@
 	log    logr.Logger
 	on     atomic.Bool
 	next   atomic.Int64
-	lost   bool
+	lost   atomic.Bool
+	// probe is the reader that tries while the store is lost; nil for itself.
+	probe *Reader
 }
 
-// NewReader returns a reader that is off.
-func NewReader(s Stream, store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) *Reader {
-	r := &Reader{stream: s, store: store, out: out, clock: clock, log: log}
-	r.next.Store(-1)
-	return r
+// NewReaders returns a reader for each stream, all of them off. While the store
+// is lost only the one of Owners tries, as failed calls are charged too.
+func NewReaders(store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) [NumStreams]*Reader {
+	var all [NumStreams]*Reader
+	for i := range all {
+		all[i] = &Reader{stream: Stream(i), store: store, out: out, clock: clock, log: log}
+		all[i].next.Store(-1)
+	}
+	for _, r := range all {
+		if r.stream != Owners {
+			r.probe = all[Owners]
+		}
+	}
+	return all
 }
 
 // Turn switches the reader on or off.
@@ -73,7 +90,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if !r.on.Load() {
+		if !r.on.Load() || r.probe != nil && r.probe.lost.Load() {
 			sleep(ctx, idlePoll)
 			continue
 		}
@@ -85,8 +102,7 @@
 			continue
 		}
 		backoff = minBackoff
-		if r.lost {
-			r.lost = false
+		if r.lost.Swap(false) {
 			r.log.Info("store reachable again", "stream", r.stream.String())
 		}
 		if busy {
@@ -99,8 +115,7 @@
 	if errors.Is(err, ErrExpired) {
 		r.next.Store(-1)
 	}
-	if !r.lost && ctx.Err() == nil {
-		r.lost = true
+	if ctx.Err() == nil && !r.lost.Swap(true) {
 		r.log.Info("store lost", "stream", r.stream.String(), "reason", err.Error())
 	}
 }
@@ -118,10 +133,10 @@
 		b.Records, b.Next, err = r.store.Newest(call, r.stream)
 		b.AsOf = start
 	} else {
-		call, cancel := context.WithTimeout(ctx, callTimeout+readWait)
+		call, cancel := context.WithTimeout(ctx, callTimeout+readWait[r.stream])
 		defer cancel()
-		b.Records, b.Next, err = r.store.Read(call, r.stream, from, readWait)
-		if b.AsOf = start.Add(readWait); len(b.Records) > 0 {
+		b.Records, b.Next, err = r.store.Read(call, r.stream, from, readWait[r.stream])
+		if b.AsOf = start.Add(readWait[r.stream]); len(b.Records) > 0 {
 			b.AsOf = max(start, r.clock().Add(-answerDelay))
 		}
 	}
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -8,12 +8,15 @@
 
 const (
 	// staleAge is the age of the copy from which a VM looks for another source.
-	// A reader learns every readWait that nothing is new and a follower syncWait
-	// later, so that ages stay under 1.7 s while all is well.
+	// A reader hears from the store at least every 1.2 s and a follower up to
+	// syncWait later, so that ages stay under 2 s while all is well.
 	staleAge = 2 * time.Second
 	// syncWait is how long a source holds a follower's call when there is
 	// nothing new. It bounds how long a lost source goes unnoticed.
 	syncWait = 500 * time.Millisecond
+	// directAge is the age from which a VM that is not elected reads the store
+	// itself. Until then it asks all other VMs.
+	directAge = 3500 * time.Millisecond
 	// directTime is how long a VM that lost its source reads the store itself
 	// before it tries to follow again.
 	directTime = 2 * time.Second
@@ -80,6 +83,8 @@
 	elected   bool
 	reading   bool
 	following bool
+	// started is set once all streams were known.
+	started bool
 	// direct is until when the VM reads the store although another is elected.
 	direct core.Instant
 }
@@ -146,24 +151,27 @@
 	return out
 }
 
-// Age returns the age of the stalest stream that requests depend on.
+// age returns how long ago the VM last heard of the store, over whichever
+// source and stream, or staleAge while a stream was never read.
 func (r *Replica) age(now core.Instant) time.Duration {
-	age := time.Duration(0)
-	for _, s := range []Stream{Config, Targets, Owners} {
+	age := time.Duration(1<<63 - 1)
+	for s := range NumStreams {
 		asOf, known := r.copy.AsOf(s)
 		if !known {
 			return staleAge
 		}
-		age = max(age, now.Sub(asOf))
+		age = min(age, now.Sub(asOf))
 	}
 	return age
 }
 
 func (r *Replica) source(now core.Instant) []Output {
-	stale := r.age(now) >= staleAge
-	if stale {
+	age := r.age(now)
+	stale := age >= staleAge
+	if age >= directAge || !r.started {
 		r.direct = now.Add(directTime)
 	}
+	r.started = r.started || age < staleAge
 	reading := r.elected || now.Before(r.direct)
 	following := !r.elected || stale
 	var out []Output
