replica: follow while the store turns this VM away

Now it follows for as long as its reading fails. Waits for configuration and registrations are 1.2 s again, since a silent connection is noticed only after the wait.

--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -14,10 +14,11 @@
 
 // readWait is how long the store holds a read when there is nothing new. The
 // assigner writes every second, so a reader of Owners hears from the store at
-// least that often; the waits of the others only bound how many calls are made.
+// least that often. A connection that fell silent is noticed only after the
+// wait, so it must stay well under the time in which changes must be in force.
 var readWait = [NumStreams]time.Duration{
-	Config:  2500 * time.Millisecond,
-	Targets: 2500 * time.Millisecond,
+	Config:  1200 * time.Millisecond,
+	Targets: 1200 * time.Millisecond,
 	Owners:  1200 * time.Millisecond,
 	Members: 2500 * time.Millisecond,
 }
@@ -42,10 +43,15 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// lostBackoff is the pause of the other streams while Owners fails too.
+	lostBackoff = 1200 * time.Millisecond
 	// idlePoll is how often a reader that is off looks whether it is wanted.
 	idlePoll = 50 * time.Millisecond
 )
 
+// fromStore is the source of batches that this VM read itself.
+const fromStore = "store"
+
 // Reader copies one stream from the store while it is on.
 type Reader struct {
 	stream Stream
@@ -56,12 +62,12 @@
 	on     atomic.Bool
 	next   atomic.Int64
 	lost   atomic.Bool
-	// probe is the reader that tries while the store is lost; nil for itself.
+	// probe is the reader that tries most while the store is lost; nil for itself.
 	probe *Reader
 }
 
 // NewReaders returns a reader for each stream, all of them off. While the store
-// is lost only the one of Owners tries, as failed calls are charged too.
+// is lost only the one of Owners tries often, as failed calls are charged too.
 func NewReaders(store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) [NumStreams]*Reader {
 	var all [NumStreams]*Reader
 	for i := range all {
@@ -90,14 +96,14 @@
 func (r *Reader) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if !r.on.Load() || r.probe != nil && r.probe.lost.Load() {
+		if !r.on.Load() {
 			sleep(ctx, idlePoll)
 			continue
 		}
 		busy, err := r.read(ctx)
 		if err != nil {
 			r.failed(ctx, err)
-			sleep(ctx, backoff)
+			sleep(ctx, r.pause(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -111,10 +117,22 @@
 	}
 }
 
+// pause returns how long to wait after a failed read. While the store is lost
+// as a whole, one stream tries often enough.
+func (r *Reader) pause(backoff time.Duration) time.Duration {
+	if r.probe != nil && r.probe.lost.Load() {
+		return lostBackoff
+	}
+	return backoff
+}
+
 func (r *Reader) failed(ctx context.Context, err error) {
 	if errors.Is(err, ErrExpired) {
 		r.next.Store(-1)
 	}
+	if r.stream == Owners {
+		_ = r.out.Wait(ctx, Lost{}) // ends only with the context
+	}
 	if ctx.Err() == nil && !r.lost.Swap(true) {
 		r.log.Info("store lost", "stream", r.stream.String(), "reason", err.Error())
 	}
@@ -124,7 +142,7 @@
 func (r *Reader) read(ctx context.Context) (bool, error) {
 	from := r.next.Load()
 	start := r.clock()
-	b := Batch{Stream: r.stream, Source: "store"}
+	b := Batch{Stream: r.stream, Source: fromStore}
 	var err error
 	if from < 0 {
 		call, cancel := context.WithTimeout(ctx, 2*callTimeout)
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -28,6 +28,9 @@
 // Fetched brings a batch.
 type Fetched struct{ Batch Batch }
 
+// Lost tells that the VM's own reading of the store fails.
+type Lost struct{}
+
 // Ask is a follower's call. Reply has room for one answer.
 type Ask struct {
 	Have  []Position
@@ -42,6 +45,7 @@
 type Tick struct{}
 
 func (Fetched) message() {}
+func (Lost) message()    {}
 func (Ask) message()     {}
 func (Elected) message() {}
 func (Tick) message()    {}
@@ -83,6 +87,8 @@
 	elected   bool
 	reading   bool
 	following bool
+	// lost is set while the VM's own reading of the store fails.
+	lost bool
 	// started is set once all streams were known.
 	started bool
 	// direct is until when the VM reads the store although another is elected.
@@ -97,7 +103,12 @@
 	var out []Output
 	switch m := m.(type) {
 	case Fetched:
+		if m.Batch.Source == fromStore && m.Batch.Stream == Owners {
+			r.lost = false
+		}
 		out = r.fetched(m.Batch)
+	case Lost:
+		r.lost = true
 	case Ask:
 		r.waiting = append(r.waiting, m)
 	case Elected:
@@ -173,7 +184,7 @@
 	}
 	r.started = r.started || age < staleAge
 	reading := r.elected || now.Before(r.direct)
-	following := !r.elected || stale
+	following := !r.elected || stale || r.lost
 	var out []Output
 	if reading != r.reading {
 		r.reading = reading
