--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -39,23 +39,23 @@
 		}
 		have = append(have, replica.Position{Stream: replica.Stream(p.Stream), Next: p.Next})
 	}
-	reply := make(chan []replica.Batch, 1)
+	reply := make(chan replica.Reply, 1)
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxSyncWait)
 	if err := s.replica.Wait(ctx, replica.Ask{Have: have, Until: s.clock().Add(wait), Reply: reply}); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	select {
-	case batches := <-reply:
-		return s.syncReply(batches), nil
+	case r := <-reply:
+		return s.syncReply(r), nil
 	case <-ctx.Done():
 		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 	}
 }
 
-func (s *Server) syncReply(batches []replica.Batch) *meshpb.SyncReply {
+func (s *Server) syncReply(r replica.Reply) *meshpb.SyncReply {
 	now := s.clock()
-	out := &meshpb.SyncReply{}
-	for _, b := range batches {
+	out := &meshpb.SyncReply{Direct: r.Direct}
+	for _, b := range r.Batches {
 		state := &meshpb.StreamState{Stream: uint32(b.Stream), End: b.Next, AgeMs: now.Sub(b.AsOf).Milliseconds()}
 		for _, r := range b.Records {
 			state.Records = append(state.Records, &meshpb.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Deleted: r.Deleted})
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -27,7 +27,7 @@
 		n.follower.Turn(o.On)
 		n.log.Info("following other VMs", "on", o.On)
 	case replica.Answer:
-		o.To <- o.Batches
+		o.To <- o.Reply
 	case replica.Changed:
 		n.readers[o.Stream].Advance(o.Next)
 		n.follower.Advance(o.Stream, o.Next)
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -33,23 +33,29 @@
 	_ = r.Wait(ctx, m) // the ring counts nothing; the message comes again if it still holds
 }
 
-// source returns the VM to follow: first the reader of the own failure domain,
-// then its other VMs, then those of other domains.
-func (n *Process) source(attempt int) replica.Peer {
-	view := n.members.Load()
-	if view == nil {
-		return nil
+// maxSources bounds the VMs that are asked in turn for a fresh copy. It covers
+// the readers of all failure domains.
+const maxSources = 8
+
+// source returns the n-th VM to follow and how many there are. A VM that knows
+// no others yet, as after a start while the store is down, asks its seeds.
+func (n *Process) source(i int) (replica.Peer, int) {
+	var sources []roster.Member
+	if view := n.members.Load(); view != nil {
+		sources = view.Sources(readerKey)
 	}
-	var others []roster.Member
-	for _, m := range view.Ranked(readerKey, n.self.FailureDomain) {
-		if m.VM != n.self.VM {
-			others = append(others, m)
+	if len(sources) == 0 {
+		for _, address := range n.settings.Seeds {
+			if address != n.settings.MeshAddress {
+				sources = append(sources, roster.Member{VM: core.VM(address), Address: address})
+			}
 		}
 	}
-	if len(others) == 0 {
-		return nil
+	if len(sources) == 0 {
+		return nil, 0
 	}
-	return n.mesh.Peer(others[attempt%len(others)])
+	sources = sources[:min(len(sources), maxSources)]
+	return n.mesh.Peer(sources[i%len(sources)]), len(sources)
 }
 
 func (n *Process) writeMember(ctx context.Context, m roster.Member) {
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -169,7 +170,7 @@
 				n.log.Error(err, "settings not reloaded")
 				continue
 			}
-			n.log.Info("settings reloaded", "changed", s != n.settings, "retry_ratio", s.Retry.Ratio, "retry_extra", s.Retry.Extra)
+			n.log.Info("settings reloaded", "changed", !reflect.DeepEqual(s, n.settings), "retry_ratio", s.Retry.Ratio, "retry_extra", s.Retry.Extra)
 		}
 	}()
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,6 +24,8 @@
 	// ReadyPath is the path of the load balancer's question.
 	ReadyPath   string
 	MeshAddress string
+	// Seeds are mesh addresses of VMs that may be up.
+	Seeds []string
 	// StopTimeout is how long the process may take to stop after SIGTERM.
 	StopTimeout time.Duration
 	Retry       balance.RetryLimits
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -18,20 +18,25 @@
 	// followPause is the least time between two calls to the same source. It
 	// bounds a follower's share of its source's processor time.
 	followPause = 20 * time.Millisecond
-	// retryPause follows a call that failed or brought nothing newer.
-	retryPause = 100 * time.Millisecond
+	// followAge is the age of a source's copy from which it is left for another
+	// one: somewhat above the time between two words from the store.
+	followAge = 1600 * time.Millisecond
+	// returnTime is how long a VM stays with a source that is not its first
+	// choice before it tries that one again.
+	returnTime = 4 * time.Second
+	// cyclePause follows a round over all sources of which none was good.
+	cyclePause = 250 * time.Millisecond
 )
 
 // Peer asks another VM for what is new. The batches' AsOf is on this VM's
 // clock.
 type Peer interface {
-	Sync(ctx context.Context, have []Position, wait time.Duration) ([]Batch, error)
+	Sync(ctx context.Context, have []Position, wait time.Duration) (Reply, error)
 	Name() core.VM
 }
 
-// Sources returns the VMs to follow, best first. The attempt counts up while
-// the last ones were of no use.
-type Sources func(attempt int) Peer
+// Sources returns the n-th VM to follow, best first, and how many there are.
+type Sources func(n int) (Peer, int)
 
 // Follower copies all streams from another VM while it is on.
 type Follower struct {
@@ -54,67 +59,76 @@
 // Advance notes how far the copy of a stream goes.
 func (f *Follower) Advance(s Stream, next int64) { f.next[s].Store(next) }
 
-// Run follows until the context ends.
+// Run follows until the context ends. It stays with a source that reads the
+// store itself and is fresh; as long as it finds none, it asks all in turn.
 func (f *Follower) Run(ctx context.Context) {
-	attempt := 0
-	var current core.VM
+	choice, found := 0, false
+	var since core.Instant
 	for ctx.Err() == nil {
 		if !f.on.Load() {
 			sleep(ctx, idlePoll)
 			continue
 		}
-		peer := f.sources(attempt)
+		if choice > 0 && found && f.clock().Sub(since) > returnTime {
+			choice, found = 0, false
+		}
+		peer, count := f.sources(choice)
 		if peer == nil {
-			attempt = 0
-			sleep(ctx, retryPause)
+			sleep(ctx, idlePoll)
 			continue
 		}
-		fresh, err := f.sync(ctx, peer)
-		if err != nil || !fresh {
-			attempt++
-			if peer.Name() == current {
-				f.log.Info("source of the copy lost", "vm", current, "fresh", fresh, "reason", reason(err))
-				current = ""
-			}
-			sleep(ctx, retryPause)
-			continue
+		wait := time.Duration(0)
+		if found {
+			wait = syncWait
 		}
-		if attempt > 0 || current != peer.Name() {
-			f.log.Info("following", "vm", peer.Name())
+		good, err := f.sync(ctx, peer, wait)
+		switch {
+		case good && !found:
+			found, since = true, f.clock()
+			f.log.Info("following", "vm", peer.Name(), "choice", choice)
+		case good:
+		default:
+			if found {
+				f.log.Info("source of the copy lost", "vm", peer.Name(), "reason", reason(err))
+			}
+			found = false
+			if choice++; choice >= count {
+				choice = 0
+				sleep(ctx, cyclePause)
+			}
 		}
-		current, attempt = peer.Name(), 0
 		sleep(ctx, followPause)
 	}
 }
 
 func reason(err error) string {
 	if err == nil {
-		return "nothing newer"
+		return "it doesn't hear of the store itself"
 	}
 	return err.Error()
 }
 
-// sync makes one call and reports whether the source's copy is fresh.
-func (f *Follower) sync(ctx context.Context, p Peer) (bool, error) {
+// sync makes one call and reports whether the source is good to stay with.
+func (f *Follower) sync(ctx context.Context, p Peer, wait time.Duration) (bool, error) {
 	have := make([]Position, NumStreams)
 	for i := range have {
 		have[i] = Position{Stream: Stream(i), Next: f.next[i].Load()}
 	}
-	call, cancel := context.WithTimeout(ctx, syncWait+peerTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
-	batches, err := p.Sync(call, have, syncWait)
+	reply, err := p.Sync(call, have, wait)
 	if err != nil {
 		return false, err
 	}
 	fresh := false
 	now := f.clock()
-	for _, b := range batches {
+	for _, b := range reply.Batches {
 		b.AsOf = min(b.AsOf, now)
 		b.Source = string(p.Name())
-		fresh = fresh || now.Sub(b.AsOf) < staleAge
+		fresh = fresh || now.Sub(b.AsOf) < followAge
 		if err := f.out.Wait(ctx, Fetched{Batch: b}); err != nil {
 			return false, err
 		}
 	}
-	return fresh, nil
+	return fresh && reply.Direct, nil
 }
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -35,7 +35,14 @@
 type Ask struct {
 	Have  []Position
 	Until core.Instant
-	Reply chan<- []Batch
+	Reply chan<- Reply
+}
+
+// Reply is the answer to an Ask. AsOf of its batches is this VM's clock.
+type Reply struct {
+	Batches []Batch
+	// Direct is set if the VM reads the store itself at present.
+	Direct bool
 }
 
 // Elected says whether this VM is to read the store for its failure domain.
@@ -63,10 +70,10 @@
 	Source  string
 }
 
-// Answer is the answer to an Ask. AsOf of its batches is this VM's clock.
+// Answer sends a Reply.
 type Answer struct {
-	To      chan<- []Batch
-	Batches []Batch
+	To    chan<- Reply
+	Reply Reply
 }
 
 // Reading starts or stops this VM's own reading of the store.
@@ -135,7 +142,7 @@
 			kept = append(kept, a)
 			continue
 		}
-		out = append(out, Answer{To: a.Reply, Batches: r.batches(a.Have)})
+		out = append(out, Answer{To: a.Reply, Reply: Reply{Batches: r.batches(a.Have), Direct: r.reading && !r.lost}})
 	}
 	r.waiting = kept
 	return out
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -176,3 +176,24 @@
 	}
 	return len(v.all)
 }
+
+// Sources returns the other members in the order in which this VM follows them:
+// the first of its own failure domain by rank, the first of every other one,
+// and then the rest.
+func (v *View) Sources(key string) []Member {
+	ranked := v.Ranked(key, v.self.FailureDomain)
+	seen := make(map[core.FailureDomain]bool)
+	var first, rest []Member
+	for _, m := range ranked {
+		head := !seen[m.FailureDomain]
+		seen[m.FailureDomain] = true
+		switch {
+		case m.VM == v.self.VM:
+		case head:
+			first = append(first, m)
+		default:
+			rest = append(rest, m)
+		}
+	}
+	return append(first, rest...)
+}
