--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -99,5 +99,5 @@
 	if err != nil {
 		return ownership.QueryReply{}, fmt.Errorf("mesh: settle with %s: %w", to.VM, err)
 	}
-	return ownership.QueryReply{Applied: reply.Applied, Remaining: time.Duration(reply.RemainingMs) * time.Millisecond}, nil
+	return ownership.QueryReply{Applied: reply.Applied, Remaining: time.Duration(reply.RemainingMs) * time.Millisecond, Same: reply.Same}, nil
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -96,7 +96,7 @@
 	}
 	select {
 	case r := <-reply:
-		return &meshpb.SettleReply{Applied: r.Applied, RemainingMs: r.Remaining.Milliseconds()}, nil
+		return &meshpb.SettleReply{Applied: r.Applied, RemainingMs: r.Remaining.Milliseconds(), Same: r.Same}, nil
 	case <-ctx.Done():
 		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 	}
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -205,6 +205,8 @@
 		n.log.Info(o.Text, o.Fields...)
 	case ownership.Answer:
 		o.To <- o.Reply
+	case ownership.AskQuorum:
+		n.askQuorum(ctx, o)
 	case ownership.Renew:
 		n.renew(ctx, o)
 	}
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/balance"
@@ -98,7 +100,7 @@
 		} else {
 			n.metrics.Count("appends_failed", "owners")
 		}
-		_ = n.assignerRing.Put(ctx, ownership.Appended{Err: err})
+		_ = n.assignerRing.Put(ctx, ownership.Appended{Next: offset + int64(len(a.Records)), Err: err})
 	})
 	if !ok {
 		offer(n.assignerRing, ownership.Message(ownership.Appended{Err: ring.ErrFull}))
@@ -207,16 +209,44 @@
 		n.submit(ctx, n.peers.Submit, func(ctx context.Context) {
 			call, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			r, err := n.mesh.Settle(call, m, o.Target, o.Offset)
+			r, err := n.mesh.Settle(call, m, o.Holder.Target, o.Offset)
 			if err != nil {
 				n.metrics.Count("settles_failed")
 				return
 			}
-			_ = n.assignerRing.Put(ctx, ownership.Settled{Task: o.Task, VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
+			_ = n.assignerRing.Put(ctx, ownership.Settled{Holder: o.Holder, Offset: o.Offset, VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
 		})
 	}
 }
 
+// askQuorum counts the other members that know of no newer record.
+func (n *Process) askQuorum(ctx context.Context, o ownership.AskQuorum) {
+	started := n.clock()
+	var same atomic.Int32
+	var open sync.WaitGroup
+	for _, m := range o.Members {
+		if m.VM == n.self.VM {
+			continue
+		}
+		open.Add(1)
+		ok := n.submit(ctx, n.peers.Submit, func(ctx context.Context) {
+			defer open.Done()
+			call, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			if r, err := n.mesh.Settle(call, m, "", o.Next+1); err == nil && r.Same {
+				same.Add(1)
+			}
+		})
+		if !ok {
+			open.Done()
+		}
+	}
+	go func() {
+		open.Wait()
+		_ = n.keeperRing.Put(ctx, ownership.Quorum{Started: started, Same: int(same.Load())})
+	}()
+}
+
 func (n *Process) probe(ctx context.Context, o balance.Probe) {
 	result := balance.Probed{Target: o.Target}
 	ok := n.submit(ctx, n.probes.Submit, func(ctx context.Context) {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -37,7 +37,7 @@
 	// probeWorkers and peerWorkers do the same for health checks and for calls
 	// to other VMs.
 	probeWorkers = 4
-	peerWorkers  = 8
+	peerWorkers  = 16
 	poolRing     = 1024
 
 	tickInterval      = 100 * time.Millisecond
@@ -143,7 +143,7 @@
 		n.emitBalance, balance.Message(balance.Tick{}), tickInterval).Run)
 	assigner := ownership.NewAssigner(ownership.Lead{VM: n.self.VM, Incarnation: n.self.Incarnation})
 	n.run(ctx, duty.New("assigner", n.clock, n.assignerRing, &leadWatch{assigner, &n.leading}, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run)
-	n.run(ctx, duty.New("keeper", n.clock, n.keeperRing, ownership.NewKeeper(), n.emitKeeper, ownership.Message(ownership.Tick{}), tickInterval).Run)
+	n.run(ctx, duty.New("keeper", n.clock, n.keeperRing, ownership.NewKeeper(n.clock()), n.emitKeeper, ownership.Message(ownership.Tick{}), tickInterval).Run)
 	for _, r := range n.readers {
 		n.run(ctx, r.Run)
 	}
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -26,15 +26,21 @@
 	// leadSeen is when the assigner, whoever it is, last wrote.
 	leadSeen  core.Instant
 	leadTried core.Instant
+	// appending is set from an append until the ledger shows it; written is then
+	// the end of the ledger that it made.
 	appending bool
+	written   int64
 	wrote     core.Instant
+	retryAt   core.Instant
 
 	firstSeen   map[core.Service]core.Instant
 	lastChange  map[core.Service]core.Instant
 	numTargets  map[core.Service]int
 	unreachable map[core.Target]core.Instant
 	tasks       map[TaskID]*task
+	evictions   map[Holder]*eviction
 	loads       *loads
+	planned     core.Instant
 	balanced    core.Instant
 	moved       map[core.Service]*[Units]core.Instant
 }
@@ -48,6 +54,7 @@
 		numTargets:  make(map[core.Service]int),
 		unreachable: make(map[core.Target]core.Instant),
 		tasks:       make(map[TaskID]*task),
+		evictions:   make(map[Holder]*eviction),
 		loads:       newLoads(),
 		moved:       make(map[core.Service]*[Units]core.Instant),
 	}
@@ -94,12 +101,15 @@
 	if m.LeadRenewed {
 		a.leadSeen = now
 	}
+	if a.written > 0 && a.ledger.Next >= a.written {
+		a.appending, a.written = false, 0
+	}
 	leads := a.ledger.Lead == a.self
 	if leads == a.leading {
 		return nil
 	}
 	a.leading = leads
-	a.tasks = make(map[TaskID]*task)
+	a.tasks, a.evictions = make(map[TaskID]*task), make(map[Holder]*eviction)
 	text := "assigner role lost"
 	if leads {
 		text = "assigner role taken"
@@ -128,7 +138,7 @@
 // lead takes the role over from an assigner that has stopped writing, and
 // renews it.
 func (a *Assigner) lead(now core.Instant) []Output {
-	if a.appending || a.members == nil || !a.fresh(now) {
+	if a.appending || now.Before(a.retryAt) || a.members == nil || !a.fresh(now) {
 		return nil
 	}
 	if a.leading {
@@ -170,11 +180,15 @@
 }
 
 func (a *Assigner) appended(now core.Instant, m Appended) []Output {
+	if m.Err == nil && a.ledger.Next < m.Next {
+		a.written = m.Next
+		return nil
+	}
 	a.appending = false
 	if m.Err == nil {
 		return nil
 	}
-	a.wrote = now
+	a.retryAt = now.Add(appendBackoff)
 	if errors.Is(m.Err, replica.ErrConflict) {
 		return []Output{Event{Text: "append lost to another VM", Fields: []any{"ledger_end", a.ledger.Next}}}
 	}
@@ -184,12 +198,13 @@
 // work plans and carries out moves.
 func (a *Assigner) work(now core.Instant) []Output {
 	out := a.runTasks(now)
-	if a.appending || !a.fresh(now) {
+	if a.appending || now.Before(a.retryAt) || !a.fresh(now) {
 		return out
 	}
 	changes := a.settledCells(now)
 	reason := "moves done"
-	if len(changes) == 0 {
+	if len(changes) == 0 && now.Sub(a.planned) >= planInterval {
+		a.planned = now
 		changes, reason = a.plan(now)
 	}
 	if len(changes) == 0 {
--- a/internal/ownership/doc.go
+++ b/internal/ownership/doc.go
@@ -12,6 +12,9 @@
 // ended; or nobody can have renewed its grant for longer than a grant lasts.
 //
 // Renewing changes no owner, so any VM may do it for what the ledger says. Two
-// VMs renew each target's grants. A VM that can't learn of newer records goes
-// on for MaxStale, so that an outage of the store stops no target.
+// VMs renew each target's grants. A VM whose ledger has grown old goes on only
+// as long as a majority of the VMs knows of nothing newer, as in an outage of
+// the store. Whoever takes keys from a holder that doesn't answer needs word
+// from a majority too; the two majorities share a VM, which bounds how long the
+// old grants are still renewed.
 package ownership
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -55,6 +55,20 @@
 // Ordered notes that the assigner of this VM sends a grant.
 type Ordered struct{ Target core.Target }
 
+// AskQuorum asks the other members whether they know of records from Next on.
+type AskQuorum struct {
+	Next    int64
+	Members []roster.Member
+}
+
+// Quorum is the result of an AskQuorum.
+type Quorum struct {
+	// Started is when the question was asked.
+	Started core.Instant
+	// Same counts the other members that have nothing newer.
+	Same int
+}
+
 // DirectoryRead tells that the registrations were the newest at a time.
 type DirectoryRead struct{ AsOf core.Instant }
 
@@ -68,8 +82,13 @@
 
 // QueryReply is the answer to a Query.
 type QueryReply struct {
-	Applied   bool
+	// Applied is set if the VM's ledger reaches the offset.
+	Applied bool
+	// Remaining is how long a grant that the VM renewed may still last.
 	Remaining time.Duration
+	// Same is set if the VM's ledger ends just before the offset and holds all
+	// that the VM ever knew, also before a restart.
+	Same bool
 }
 
 // Answer sends a QueryReply.
@@ -82,12 +101,15 @@
 func (Missing) message()       {}
 func (Ordered) message()       {}
 func (DirectoryRead) message() {}
+func (Quorum) message()        {}
 func (Query) message()         {}
 func (Renew) output()          {}
+func (AskQuorum) output()      {}
 func (Answer) output()         {}
 
 // Keeper is the state machine that renews grants.
 type Keeper struct {
+	started core.Instant
 	ledger  *View
 	asOf    core.Instant
 	targets *discovery.View
@@ -95,7 +117,11 @@
 	kept    map[core.Target]*kept
 	// directory is the time as of which the registrations are the newest.
 	directory core.Instant
-	stale     bool
+	// quorum is when a majority was last asked that had nothing newer.
+	quorum  core.Instant
+	askedAt core.Instant
+	asking  bool
+	stale   bool
 }
 
 // kept is what the keeper knows of a target.
@@ -130,9 +156,9 @@
 	doubtTime = 4 * time.Second
 )
 
-// NewKeeper returns a keeper of nothing.
-func NewKeeper() *Keeper {
-	return &Keeper{ledger: &View{}, targets: &discovery.View{}, kept: make(map[core.Target]*kept)}
+// NewKeeper returns a keeper of nothing. Its process has started by now.
+func NewKeeper(now core.Instant) *Keeper {
+	return &Keeper{started: now, ledger: &View{}, targets: &discovery.View{}, kept: make(map[core.Target]*kept)}
 }
 
 // Step implements duty.Step.
@@ -156,6 +182,11 @@
 		return k.missing(now, m)
 	case Ordered:
 		k.of(m.Target).sent = now
+	case Quorum:
+		k.asking = false
+		if k.members != nil && k.remembers() && 2*(m.Same+1) > k.members.Size() {
+			k.quorum = max(k.quorum, m.Started)
+		}
 	case DirectoryRead:
 		k.directory = max(k.directory, m.AsOf)
 	case Query:
@@ -211,15 +242,15 @@
 // due renews what is due. A process that was replaced holds nothing and is not
 // renewed.
 func (k *Keeper) due(now core.Instant) []Output {
-	if k.asOf == 0 || now.Sub(k.asOf) > MaxStale {
-		if k.stale || k.asOf == 0 {
-			return nil
+	out := k.ask(now)
+	if !k.mayRenew(now) {
+		if !k.stale && k.asOf != 0 {
+			k.stale = true
+			out = append(out, Event{Text: "ledger too old, renewals stopped", Fields: []any{"age_ms", now.Sub(k.asOf).Milliseconds()}})
 		}
-		k.stale = true
-		return []Output{Event{Text: "ledger too old, renewals stopped", Fields: []any{"age_ms", now.Sub(k.asOf).Milliseconds()}}}
+		return out
 	}
 	k.stale = false
-	var out []Output
 	for id, s := range k.kept {
 		if !s.keeper || s.running || len(s.rows) == 0 {
 			continue
@@ -238,6 +269,22 @@
 	return out
 }
 
+// mayRenew reports whether no newer record can have taken keys away for long:
+// the ledger is fresh, or a majority has nothing newer. Whoever takes keys away
+// counts on it.
+func (k *Keeper) mayRenew(now core.Instant) bool {
+	return k.asOf != 0 && (now.Sub(k.asOf) <= FreshTime || k.quorum != 0 && now.Sub(k.quorum) <= quorumTime)
+}
+
+// ask asks the other members once the ledger grows old.
+func (k *Keeper) ask(now core.Instant) []Output {
+	if k.asOf == 0 || k.members == nil || k.asking || now.Sub(k.asOf) < quorumAge || now.Sub(k.askedAt) < quorumInterval {
+		return nil
+	}
+	k.asking, k.askedAt = true, now
+	return []Output{AskQuorum{Next: k.ledger.Next, Members: k.members.All()}}
+}
+
 // same reports whether the target's process is, for all that is known, the one
 // that the ledger names.
 func (k *Keeper) same(id core.Target, s *kept) bool {
@@ -305,7 +352,7 @@
 // missing renews a row at once, whoever its keepers are.
 func (k *Keeper) missing(now core.Instant, m Missing) []Output {
 	s := k.kept[m.Target]
-	if s == nil || s.running || now.Sub(k.asOf) > MaxStale || now.Sub(s.sent) < RenewInterval/4 {
+	if s == nil || s.running || !k.mayRenew(now) || now.Sub(s.sent) < RenewInterval/4 {
 		return nil
 	}
 	if !k.same(m.Target, s) {
@@ -321,14 +368,19 @@
 
 func (k *Keeper) answer(now core.Instant, q Query) QueryReply {
 	if k.ledger.Next < q.Offset {
-		return QueryReply{}
+		return QueryReply{Same: k.ledger.Next == q.Offset-1 && k.remembers()}
 	}
-	s := k.kept[q.Target]
-	if s == nil || s.sent == 0 {
-		return QueryReply{Applied: true}
-	}
-	if s.running {
-		return QueryReply{}
+	// An earlier process of this VM may have renewed until this one started.
+	last := k.started
+	if s := k.kept[q.Target]; s != nil {
+		if s.running {
+			return QueryReply{}
+		}
+		last = max(last, s.sent)
 	}
-	return QueryReply{Applied: true, Remaining: max(0, HoldOnAnyClock()-now.Sub(s.sent))}
+	return QueryReply{Applied: true, Remaining: max(0, HoldOnAnyClock()-now.Sub(last))}
 }
+
+// remembers reports whether the ledger holds all that the VM knew before it
+// started: it was the newest at some time since then.
+func (k *Keeper) remembers() bool { return k.asOf.After(k.started.Add(staleError)) }
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -46,8 +46,12 @@
 type Unreachable struct{ Target core.Target }
 
 // Appended is the result of an Append. Err is nil, replica.ErrConflict or
-// another error, after which the append may still take effect.
-type Appended struct{ Err error }
+// another error, after which the append may still take effect. Without an error
+// the stream ended at Next.
+type Appended struct {
+	Next int64
+	Err  error
+}
 
 // ReleaseOutcome says what became of a release.
 type ReleaseOutcome uint8
@@ -77,8 +81,9 @@
 
 // Settled is one VM's answer to a Settle.
 type Settled struct {
-	Task TaskID
-	VM   core.VM
+	Holder Holder
+	Offset int64
+	VM     core.VM
 	// Applied is set if the VM renews nothing under older records.
 	Applied bool
 	// Remaining is how long a grant that it renewed may still last.
@@ -135,8 +140,7 @@
 
 // Settle asks members until when a target may hold a grant.
 type Settle struct {
-	Task    TaskID
-	Target  core.Target
+	Holder  Holder
 	Offset  int64
 	Members []roster.Member
 }
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -30,6 +30,9 @@
 	// joinShare is the part of a fair share of the load that a target without
 	// keys gets at once. The rest follows by measurement.
 	joinShare = 0.7
+	// rowShare bounds the load of a row that is moved as a whole, as a part of a
+	// fair share.
+	rowShare = 0.15
 	// coldWeight is the part of its capacity that counts of a cold target.
 	coldWeight = 0.15
 )
@@ -221,20 +224,28 @@
 	return out
 }
 
-// repair moves every unit whose owner can't keep it. Units that are moving
+// repair moves every unit whose owner can't keep it, in rows of neighbours with
+// the same owner, as far as a row's load is no burden. Units that are moving
 // already wait for their move.
 func (b *balance) repair() []change {
 	var out []change
-	for u, c := range b.cells {
+	for u := 0; u < Units; {
+		c := b.cells[u]
 		if c.Moving() || b.owner(c) != nil {
+			u++
 			continue
 		}
-		n := b.give(u, b.least())
-		n.cell.Previous = c.Owner
-		if c.Owner.None() {
-			n.cell.Previous = Holder{}
+		to := b.least()
+		most := rowShare * b.meanBusy() * to.capacity
+		var load float64
+		for from := u; u < Units && u < from+firstRow && b.cells[u] == c; u++ {
+			if load += b.loads[u]; u > from && load > most {
+				break
+			}
+			n := b.give(u, to)
+			n.cell.Previous = c.Owner
+			out = append(out, n)
 		}
-		out = append(out, n)
 	}
 	return out
 }
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -1,7 +1,8 @@
 package ownership
 
 import (
-	"time"
+	"cmp"
+	"slices"
 
 	"celeryhook.example/celeryhook/internal/core"
 )
@@ -20,12 +21,9 @@
 	id       TaskID
 	to       int
 	owner    Holder
-	previous Holder
+	previous *eviction
 	stage    stage
 	created  core.Instant
-	// offset is the end of the ledger when the task was made; a VM that has
-	// applied it renews nothing for the previous holder.
-	offset   int64
 	handover string
 	// busy is set while an order is under way.
 	busy    bool
@@ -33,13 +31,28 @@
 	grants  int
 	// finished is when the owner got the units.
 	finished core.Instant
-	// unreachable is set once the previous holder gave no answer.
-	unreachable bool
-	askedAt     core.Instant
-	// heldUntil is by when the previous holder's grant has ended, as far as the
-	// members have said.
+}
+
+// eviction is what is known of a holder that keys are taken from.
+type eviction struct {
+	holder  Holder
+	created core.Instant
+	// offset is the end of the ledger when the newest of its tasks was made; a VM
+	// that has applied it renews nothing of them.
+	offset int64
+	// silent is set once the holder gave no answer to a release. Then only one
+	// release at a time tries it.
+	silent  bool
+	trying  bool
+	retryAt core.Instant
+	askedAt core.Instant
+	// answered says when VMs last told that they have applied offset, and
+	// heldUntil is by when the grants that they renewed have ended.
+	answered  map[core.VM]core.Instant
 	heldUntil core.Instant
-	answered  map[core.VM]bool
+	// majorityAt is when more than half of the VMs had told so within
+	// majorityWindow; a VM may forget when it restarts.
+	majorityAt core.Instant
 }
 
 // syncTasks makes a task of each moving row and drops those that are over.
@@ -58,72 +71,116 @@
 			id := TaskID{Service: s, From: u, Fence: c.Fence}
 			live[id] = true
 			if _, ok := a.tasks[id]; !ok && len(a.tasks) < maxTasks {
-				a.tasks[id] = &task{
-					id: id, to: to, owner: c.Owner, previous: c.Previous, created: now, offset: a.ledger.Next,
-					answered: make(map[core.VM]bool),
-				}
+				a.tasks[id] = &task{id: id, to: to, owner: c.Owner, previous: a.evict(now, c), created: now}
 			}
 			u = to
 		}
 	}
-	for id := range a.tasks {
+	needed := make(map[Holder]bool)
+	for id, t := range a.tasks {
 		if !live[id] {
 			delete(a.tasks, id)
+			continue
+		}
+		needed[t.previous.holder] = true
+	}
+	for h := range a.evictions {
+		if !needed[h] {
+			delete(a.evictions, h)
 		}
 	}
 }
 
+// evict returns the eviction of a moving unit's previous holder. A record after
+// the ones that the VMs were asked about starts the waits anew.
+func (a *Assigner) evict(now core.Instant, c Cell) *eviction {
+	e := a.evictions[c.Previous]
+	if e == nil {
+		lost, seen := a.unreachable[c.Previous.Target]
+		e = &eviction{holder: c.Previous, silent: seen && now.Sub(lost) < unreachableTime}
+		a.evictions[c.Previous] = e
+	}
+	if c.Fence > e.offset {
+		e.created, e.offset = now, a.ledger.Next
+		e.answered, e.heldUntil, e.majorityAt = make(map[core.VM]core.Instant), 0, 0
+	}
+	return e
+}
+
+// sortedTasks returns the tasks in a stable order.
+func (a *Assigner) sortedTasks() []*task {
+	out := make([]*task, 0, len(a.tasks))
+	for _, t := range a.tasks {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(x, y *task) int {
+		return cmp.Or(cmp.Compare(x.id.Service, y.id.Service), cmp.Compare(x.id.From, y.id.From))
+	})
+	return out
+}
+
 func (a *Assigner) runTasks(now core.Instant) []Output {
 	a.syncTasks(now)
 	var out []Output
-	for _, t := range a.tasks {
+	for _, e := range a.evictions {
+		if e.silent && now.Sub(e.askedAt) >= retrySettle {
+			e.askedAt = now
+			out = append(out, Settle{Holder: e.holder, Offset: e.offset, Members: a.members.All()})
+		}
+	}
+	for _, t := range a.sortedTasks() {
 		out = append(out, a.runTask(now, t)...)
 	}
 	return out
 }
 
 func (a *Assigner) runTask(now core.Instant, t *task) []Output {
-	var out []Output
-	if t.stage == releasing && a.ended(now, t) {
+	e := t.previous
+	if t.stage == releasing && a.ended(now, e) {
 		t.stage, t.busy = granting, false
 	}
-	if t.stage == releasing && t.unreachable && now.Sub(t.askedAt) >= retrySettle {
-		t.askedAt = now
-		out = append(out, Settle{Task: t.id, Target: t.previous.Target, Offset: t.offset, Members: a.members.All()})
-	}
 	if t.busy || now.Before(t.retryAt) {
-		return out
+		return nil
 	}
 	switch t.stage {
 	case releasing:
-		t.busy = true
-		return append(out, Release{Task: t.id, Holder: t.previous, From: t.id.From, To: t.to, Fence: t.id.Fence})
+		if e.silent && (e.trying || now.Before(e.retryAt)) {
+			return nil
+		}
+		t.busy, e.trying = true, true
+		return []Output{Release{Task: t.id, Holder: e.holder, From: t.id.From, To: t.to, Fence: t.id.Fence}}
 	case granting:
 		t.busy = true
 		t.grants++
-		return append(out, Grant{Task: t.id, Holder: t.owner, From: t.id.From, To: t.to, Fence: t.id.Fence, Handover: t.handover})
+		return []Output{Grant{Task: t.id, Holder: t.owner, From: t.id.From, To: t.to, Fence: t.id.Fence, Handover: t.handover}}
 	}
-	return out
+	return nil
 }
 
-// ended reports whether the previous holder provably holds nothing more: its
-// process was replaced, or no grant of any VM can have lasted so long.
-func (a *Assigner) ended(now core.Instant, t *task) bool {
-	if next, ok := a.targets.Targets[t.previous.Target]; ok && next.Born > t.previous.Born {
-		return true
-	}
-	if now.Sub(t.created) > MaxStale+HoldOnAnyClock()+staleError {
+// ended reports whether a holder provably holds nothing more under older
+// records: its process was replaced, or every grant that a VM can have renewed
+// has run out.
+func (a *Assigner) ended(now core.Instant, e *eviction) bool {
+	if next, ok := a.targets.Targets[e.holder.Target]; ok && next.Born > e.holder.Born {
 		return true
 	}
-	if !t.unreachable || t.heldUntil == 0 || now.Before(t.heldUntil) {
+	if !e.silent {
 		return false
 	}
+	all := true
 	for _, m := range a.members.All() {
-		if !t.answered[m.VM] {
-			return false
-		}
+		all = all && e.answered[m.VM] != 0
+	}
+	if all && !now.Before(e.heldUntil) {
+		return true
+	}
+	if e.majorityAt == 0 {
+		return false
 	}
-	return true
+	// A VM without an answer renews until its ledger is too old, or until the
+	// last word that it had from a majority is.
+	last := max(e.majorityAt.Add(quorumTime), e.created.Add(FreshTime))
+	return !now.Before(last.Add(HoldOnAnyClock() + staleError))
 }
 
 func (a *Assigner) released(now core.Instant, m Released) []Output {
@@ -131,15 +188,17 @@
 	if !ok || t.stage != releasing {
 		return nil
 	}
-	t.busy = false
+	e := t.previous
+	t.busy, e.trying = false, false
 	if m.Outcome == ReleaseUnknown {
-		t.retryAt = now.Add(retryOrder)
-		if t.unreachable {
+		t.retryAt, e.retryAt = now.Add(retryOrder), now.Add(retryOrder)
+		if e.silent {
 			return nil
 		}
-		t.unreachable = true
+		e.silent = true
 		return []Output{Event{Text: "holder of moving keys doesn't answer", Fields: t.fields()}}
 	}
+	e.silent = false
 	t.stage, t.handover = granting, m.Handover
 	return nil
 }
@@ -159,30 +218,41 @@
 }
 
 func (a *Assigner) settled(now core.Instant, m Settled) []Output {
-	t, ok := a.tasks[m.Task]
-	if !ok || t.stage != releasing || !m.Applied || t.answered[m.VM] {
+	e := a.evictions[m.Holder]
+	if e == nil || m.Offset != e.offset || !m.Applied {
 		return nil
 	}
-	t.answered[m.VM] = true
-	t.heldUntil = max(t.heldUntil, now.Add(max(m.Remaining, time.Millisecond)))
+	if e.answered[m.VM] == 0 {
+		e.heldUntil = max(e.heldUntil, now.Add(m.Remaining))
+	}
+	e.answered[m.VM] = now
+	recent := 0
+	for _, at := range e.answered {
+		if now.Sub(at) <= majorityWindow {
+			recent++
+		}
+	}
+	if e.majorityAt == 0 && 2*recent > a.members.Size() {
+		e.majorityAt = now
+	}
 	return nil
 }
 
 func (t *task) fields() []any {
 	return []any{
 		"service", t.id.Service, "from_unit", t.id.From, "to_unit", t.to, "fence", t.id.Fence,
-		"previous", t.previous.Target, "owner", t.owner.Target,
+		"previous", t.previous.holder.Target, "owner", t.owner.Target,
 	}
 }
 
 // settledCells returns the units of finished moves without their previous
 // holder, once the moves that run beside them had time to finish too.
 func (a *Assigner) settledCells(now core.Instant) []change {
-	var out []change
 	if !a.settleDue(now) {
 		return nil
 	}
-	for _, t := range a.tasks {
+	var out []change
+	for _, t := range a.sortedTasks() {
 		if t.stage != done {
 			continue
 		}
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -5,16 +5,27 @@
 const (
 	// Hold is how long a grant lasts. It bounds how long keys wait for a holder
 	// that can't be reached; four renewals fit into it.
-	Hold = 2500 * time.Millisecond
+	Hold = 1800 * time.Millisecond
 	// RenewInterval is the time between renewals by one of the two keepers.
-	RenewInterval = 600 * time.Millisecond
-	// MaxStale is for how long a VM renews by a ledger that it can't refresh. It
-	// covers the outages of the store that the platform announces.
-	MaxStale = 20 * time.Second
+	RenewInterval = 450 * time.Millisecond
+	// FreshTime is for how long a VM renews by a ledger that it can't refresh. It
+	// covers the change to another source of the ledger.
+	FreshTime = 2 * time.Second
+	// quorumTime is for how long it goes on after a majority of the VMs had
+	// nothing newer either, as in an outage of the store.
+	quorumTime = 1300 * time.Millisecond
+	// quorumInterval is the time between such questions. They begin when the
+	// ledger is quorumAge old.
+	quorumInterval = 500 * time.Millisecond
+	quorumAge      = 1300 * time.Millisecond
+	// majorityWindow is how far apart the answers of a majority may lie.
+	majorityWindow = time.Second
+	// planInterval is the least time between two plans, which look at every unit.
+	planInterval = 50 * time.Millisecond
 	// lateMargin covers the delay of an order on its way and the wrong ages that
 	// replica.Batch.AsOf allows for.
 	lateMargin = 300 * time.Millisecond
-	staleError = time.Second
+	staleError = 600 * time.Millisecond
 
 	leadInterval = time.Second
 	// leadTimeout is two missed renewals of the lead and the time to spread.
@@ -37,6 +48,9 @@
 	// wait meanwhile.
 	settleDelay = 40 * time.Millisecond
 
+	// appendBackoff follows an append that failed.
+	appendBackoff = 250 * time.Millisecond
+
 	retryOrder  = 200 * time.Millisecond
 	retrySettle = 300 * time.Millisecond
 	maxGrants   = 4
