--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -20,9 +20,9 @@
 	switch o := o.(type) {
 	case replica.Reading:
 		for _, r := range n.readers {
-			r.Turn(o.On)
+			r.Turn(o.On, o.Eager)
 		}
-		n.log.Info("reading the store", "on", o.On)
+		n.log.Info("reading the store", "on", o.On, "for_others", o.Eager)
 	case replica.Following:
 		n.follower.Turn(o.On)
 		n.log.Info("following other VMs", "on", o.On)
@@ -160,7 +160,7 @@
 		}
 		reader := o.View.Rank(readerKey, n.self.FailureDomain) == 0
 		n.log.Info("members of the deployment", "count", len(names), "vms", names, "reader", reader)
-		offer(n.replicaRing, replica.Message(replica.Elected{Reader: reader}))
+		n.replicaRing.Offer(replica.Elected{Reader: reader})
 		_ = n.balanceRing.Put(ctx, balance.MembersChanged{View: o.View})
 		_ = n.assignerRing.Put(ctx, ownership.MembersChanged{View: o.View})
 		_ = n.keeperRing.Put(ctx, ownership.MembersChanged{View: o.View})
@@ -176,9 +176,9 @@
 	case balance.Event:
 		n.log.Info(o.Text, o.Fields...)
 	case balance.Suspect:
-		offer(n.assignerRing, ownership.Message(ownership.Unreachable{Target: o.Target}))
+		n.assignerRing.Offer(ownership.Unreachable{Target: o.Target})
 	case balance.Cold:
-		offer(n.discoveryRing, discovery.Message(discovery.ReportedCold{Target: o.Target, Left: o.Left}))
+		n.discoveryRing.Offer(discovery.ReportedCold{Target: o.Target, Left: o.Left})
 	case balance.Probe:
 		n.probe(ctx, o)
 	}
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -20,6 +20,9 @@
 	// appendTimeout bounds an append; a slow store takes some 500 ms.
 	appendTimeout = 1500 * time.Millisecond
 	grantTimeout  = 300 * time.Millisecond
+	// maxOrderDelay bounds how long a grant waits for a worker. What decided it
+	// may not hold later.
+	maxOrderDelay = 200 * time.Millisecond
 	// releaseTimeout leaves the work on the keys time to end.
 	releaseTimeout = 1200 * time.Millisecond
 	probeTimeout   = 400 * time.Millisecond
@@ -28,13 +31,6 @@
 	readerKey = "reader"
 )
 
-// offer adds a message unless the ring is full.
-func offer[T any](r *ring.Ring[T], m T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = r.Wait(ctx, m) // the ring counts nothing; the message comes again if it still holds
-}
-
 // maxSources bounds the VMs that are asked in turn for a fresh copy. It covers
 // the readers of all failure domains.
 const maxSources = 8
@@ -103,7 +99,7 @@
 		_ = n.assignerRing.Put(ctx, ownership.Appended{Next: offset + int64(len(a.Records)), Err: err})
 	})
 	if !ok {
-		offer(n.assignerRing, ownership.Message(ownership.Appended{Err: ring.ErrFull}))
+		n.assignerRing.Offer(ownership.Appended{Err: ring.ErrFull})
 	}
 }
 
@@ -127,7 +123,7 @@
 		_ = n.assignerRing.Put(ctx, result)
 	})
 	if !ok {
-		offer(n.assignerRing, ownership.Message(result))
+		n.assignerRing.Offer(result)
 	}
 }
 
@@ -135,7 +131,12 @@
 	// The keeper must know before the grant leaves.
 	_ = n.keeperRing.Put(ctx, ownership.Ordered{Target: o.Holder.Target})
 	result := ownership.Granted{Task: o.Task}
+	decided := n.clock()
 	ok := n.submit(ctx, n.orders.Submit, func(ctx context.Context) {
+		if n.clock().Sub(decided) > maxOrderDelay {
+			_ = n.assignerRing.Put(ctx, result)
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
 		granted, err := n.platform.Grant(call, o.Holder, firstKey(o.From), lastKey(o.To), o.Fence, ownership.Hold, o.Handover)
@@ -147,7 +148,7 @@
 		_ = n.assignerRing.Put(ctx, result)
 	})
 	if !ok {
-		offer(n.assignerRing, ownership.Message(result))
+		n.assignerRing.Offer(result)
 	}
 }
 
@@ -161,7 +162,7 @@
 			if result.Restarted || result.Err != nil {
 				break
 			}
-			if n.clock().Sub(result.Started) > ownership.RenewInterval {
+			if n.clock().Sub(result.Started) > maxOrderDelay {
 				break // the rest is due again
 			}
 			call, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -181,7 +182,7 @@
 	})
 	if !ok {
 		result.Err = ring.ErrFull
-		offer(n.keeperRing, ownership.Message(result))
+		n.keeperRing.Offer(result)
 	}
 }
 
@@ -262,7 +263,7 @@
 		_ = n.balanceRing.Put(ctx, result)
 	})
 	if !ok {
-		offer(n.balanceRing, balance.Message(result))
+		n.balanceRing.Offer(result)
 	}
 }
 
@@ -345,5 +346,5 @@
 
 // NotOwner implements ingress.Balancer.
 func (a *asker) NotOwner(s core.Service, key uint16, t core.Target) {
-	offer(a.n.keeperRing, ownership.Message(ownership.Missing{Service: s, Unit: ownership.Unit(key), Target: t}))
+	a.n.keeperRing.Offer(ownership.Missing{Service: s, Unit: ownership.Unit(key), Target: t})
 }
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -214,20 +214,16 @@
 		s.rows = nil
 	}
 	for name, cells := range k.ledger.Services {
-		for u := 0; u < Units; u++ {
-			c := cells[u]
+		for row := range cells.Rows() {
+			c := row.Cell
 			if c.Owner.None() || c.Moving() {
 				continue
 			}
-			from := u
-			for u+1 < Units && cells[u+1] == c {
-				u++
-			}
 			s := k.of(c.Owner.Target)
 			if !s.holder.Same(c.Owner) {
 				*s = kept{holder: c.Owner, running: s.running, sent: s.sent}
 			}
-			s.rows = append(s.rows, Row{Service: name, From: from, To: u, Fence: c.Fence})
+			s.rows = append(s.rows, Row{Service: name, From: row.From, To: row.To, Fence: c.Fence})
 		}
 	}
 	for id, s := range k.kept {
--- a/internal/ownership/ledger.go
+++ b/internal/ownership/ledger.go
@@ -10,43 +10,7 @@
 	"celeryhook.example/celeryhook/internal/replica"
 )
 
-const (
-	// Units is the number of parts into which the keys of a service are divided.
-	// A unit is the least that moves.
-	Units = 1024
-	// KeysPerUnit covers the 65,536 keys of a service.
-	KeysPerUnit = 65536 / Units
-	// unitsPerBlock is how many units a record of the ledger covers. Smaller
-	// blocks make a move's record smaller and the first assignment longer.
-	unitsPerBlock = 16
-
-	leadKey = "lead"
-)
-
-// Holder is a process of a target, which holds keys.
-type Holder struct {
-	Target  core.Target `json:"target"`
-	Born    int64       `json:"born"`
-	Address string      `json:"address"`
-}
-
-// None reports whether there is no holder.
-func (h Holder) None() bool { return h.Target == "" }
-
-// Same reports whether both are the same process.
-func (h Holder) Same(o Holder) bool { return h.Target == o.Target && h.Born == o.Born }
-
-// Cell says who owns a unit.
-type Cell struct {
-	Owner Holder
-	// Fence is the token of the grant.
-	Fence int64
-	// Previous may still hold the unit; the owner gets it once that has ended.
-	Previous Holder
-}
-
-// Moving reports whether the owner doesn't hold the unit yet.
-func (c Cell) Moving() bool { return !c.Previous.None() }
+const leadKey = "lead"
 
 // Lead names the assigner.
 type Lead struct {
@@ -54,9 +18,6 @@
 	Incarnation int64   `json:"incarnation"`
 }
 
-// Cells are the units of a service.
-type Cells [Units]Cell
-
 // View is an immutable picture of the ledger.
 type View struct {
 	Lead     Lead
@@ -74,7 +35,7 @@
 	if !ok {
 		return Cell{}, false
 	}
-	c := cells[Unit(key)]
+	c := cells.At(Unit(key))
 	return c, !c.Owner.None()
 }
 
@@ -133,16 +94,15 @@
 	}
 	cells := l.view.Services[service]
 	if !copied[service] {
-		fresh := new(Cells)
-		if cells != nil {
-			*fresh = *cells
+		if cells == nil {
+			cells = NewCells()
 		}
-		cells, copied[service] = fresh, true
+		cells, copied[service] = cells.Clone(), true
 		l.view.Services[service] = cells
 	}
 	for _, run := range runs {
 		for u := max(run.From, block*unitsPerBlock); u <= min(run.To, (block+1)*unitsPerBlock-1); u++ {
-			cells[u] = run.cell()
+			cells.Set(u, run.cell())
 		}
 	}
 	return nil
@@ -186,7 +146,7 @@
 		return "", 0, fmt.Errorf("ownership: key %q has not the form service/block", key)
 	}
 	block, err := strconv.Atoi(key[i+1:])
-	if err != nil || block < 0 || block >= Units/unitsPerBlock {
+	if err != nil || block < 0 || block >= numBlocks {
 		return "", 0, fmt.Errorf("ownership: key %q names no block", key)
 	}
 	return core.Service(key[:i]), block, nil
@@ -195,19 +155,13 @@
 // encodeBlock returns the record of a block.
 func encodeBlock(s core.Service, block int, cells *Cells) (replica.Record, error) {
 	var runs []run
-	for u := block * unitsPerBlock; u < (block+1)*unitsPerBlock; u++ {
-		c := cells[u]
-		if c.Owner.None() {
-			continue
-		}
-		if n := len(runs); n > 0 && runs[n-1].To == u-1 && runs[n-1].cell() == c {
-			runs[n-1].To = u
+	for row := range cells.rows(block*unitsPerBlock, (block+1)*unitsPerBlock) {
+		if row.Cell.Owner.None() {
 			continue
 		}
-		r := run{From: u, To: u, Owner: c.Owner, Fence: c.Fence}
-		if c.Moving() {
-			previous := c.Previous
-			r.Previous = &previous
+		r := run{From: row.From, To: row.To, Owner: row.Cell.Owner, Fence: row.Cell.Fence}
+		if row.Cell.Moving() {
+			r.Previous = &row.Cell.Previous
 		}
 		runs = append(runs, r)
 	}
--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -15,7 +15,7 @@
 	defaultServiceTime = 100 * time.Millisecond
 	// evenLoad is the assumed request rate of a unit that was never measured. It
 	// spreads idle units without outweighing measured ones.
-	evenLoad = 0.05
+	evenLoad = 0.003
 )
 
 // loads adds up what the VMs report.
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -19,9 +19,9 @@
 	// factor leaves the spread that random arrivals make.
 	busyFloor  = 0.45
 	busyFactor = 1.25
-	maxMoves   = 16
-	// balanceInterval is the time between rounds: two reports of load.
-	balanceInterval = 1500 * time.Millisecond
+	maxMoves   = 32
+	// balanceInterval is the time between rounds; VMs report as often.
+	balanceInterval = time.Second
 	// restTime is how long a unit stays after a move, so that its load is
 	// measured at the new owner first.
 	restTime = 4 * time.Second
@@ -55,18 +55,17 @@
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	for _, name := range names {
-		b := a.newBalance(now, name)
-		if len(b.targets) == 0 {
+		if !a.anyEligible(now, name) {
 			continue
 		}
 		if a.ledger.Services[name] == nil {
 			if a.readyToDivide(now, name) {
-				return b.first(), "first assignment"
+				return a.newBalance(now, name).first(), "first assignment"
 			}
 			continue
 		}
-		if c := b.repair(); len(c) > 0 {
-			return c, "owner leaving or lost"
+		if a.anyLost(now, name) {
+			return a.newBalance(now, name).repair(), "owner leaving or lost"
 		}
 	}
 	if now.Sub(a.balanced) < balanceInterval {
@@ -74,7 +73,7 @@
 	}
 	a.balanced = now
 	for _, name := range names {
-		if a.ledger.Services[name] == nil {
+		if a.ledger.Services[name] == nil || !a.anyEligible(now, name) {
 			continue
 		}
 		b := a.newBalance(now, name)
@@ -90,6 +89,30 @@
 	return nil, ""
 }
 
+func (a *Assigner) anyEligible(now core.Instant, s core.Service) bool {
+	for _, t := range a.targets.ByService[s] {
+		if a.eligible(now, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyLost reports whether a unit that isn't moving has an owner that can't keep
+// it.
+func (a *Assigner) anyLost(now core.Instant, s core.Service) bool {
+	for row := range a.ledger.Services[s].Rows() {
+		if row.Cell.Moving() {
+			continue
+		}
+		t := a.targets.Targets[row.Cell.Owner.Target]
+		if t == nil || t.Born != row.Cell.Owner.Born || !a.eligible(now, t) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Assigner) readyToDivide(now core.Instant, s core.Service) bool {
 	if now.Sub(a.firstSeen[s]) >= maxFirstWait {
 		return true
@@ -170,10 +193,12 @@
 	}
 	sort.Slice(b.targets, func(i, j int) bool { return b.targets[i].holder.Target < b.targets[j].holder.Target })
 	if b.cells != nil {
-		for u, c := range b.cells {
-			if s := b.owner(c); s != nil {
-				s.load += b.loads[u]
-				s.units++
+		for row := range b.cells.Rows() {
+			if s := b.owner(row.Cell); s != nil {
+				for u := row.From; u <= row.To; u++ {
+					s.load += b.loads[u]
+				}
+				s.units += row.To - row.From + 1
 			}
 		}
 	}
@@ -229,22 +254,23 @@
 // already wait for their move.
 func (b *balance) repair() []change {
 	var out []change
-	for u := 0; u < Units; {
-		c := b.cells[u]
+	for row := range b.cells.Rows() {
+		c := row.Cell
 		if c.Moving() || b.owner(c) != nil {
-			u++
 			continue
 		}
-		to := b.least()
-		most := rowShare * b.meanBusy() * to.capacity
-		var load float64
-		for from := u; u < Units && u < from+firstRow && b.cells[u] == c; u++ {
-			if load += b.loads[u]; u > from && load > most {
-				break
+		for u := row.From; u <= row.To; {
+			to := b.least()
+			most := rowShare * b.meanBusy() * to.capacity
+			var load float64
+			for from := u; u <= row.To && u < from+firstRow; u++ {
+				if load += b.loads[u]; u > from && load > most {
+					break
+				}
+				n := b.give(u, to)
+				n.cell.Previous = c.Owner
+				out = append(out, n)
 			}
-			n := b.give(u, to)
-			n.cell.Previous = c.Owner
-			out = append(out, n)
 		}
 	}
 	return out
@@ -298,7 +324,7 @@
 }
 
 func (b *balance) move(u int, to *seat) change {
-	c := b.cells[u]
+	c := b.cells.At(u)
 	if s := b.owner(c); s != nil {
 		s.load -= b.loads[u]
 		s.units--
@@ -307,10 +333,9 @@
 	n.cell.Previous = c.Owner
 	if !b.copied {
 		// The plan's own picture changes, so that the unit is not moved twice.
-		cells := *b.cells
-		b.cells, b.copied = &cells, true
+		b.cells, b.copied = b.cells.Clone(), true
 	}
-	b.cells[u] = n.cell
+	b.cells.Set(u, n.cell)
 	return n
 }
 
@@ -346,15 +371,15 @@
 // largestUnit returns the busiest unit of a seat with a load up to most, or -1.
 func (b *balance) largestUnit(s *seat, most float64) int {
 	best := -1
-	for u, c := range b.cells {
-		if c.Moving() || b.owner(c) != s || b.loads[u] > most {
-			continue
-		}
-		if b.moved != nil && b.moved[u] != 0 && b.now.Sub(b.moved[u]) < restTime {
+	for row := range b.cells.Rows() {
+		if row.Cell.Moving() || b.owner(row.Cell) != s {
 			continue
 		}
-		if best < 0 || b.loads[u] > b.loads[best] {
-			best = u
+		for u := row.From; u <= row.To; u++ {
+			rested := b.moved == nil || b.moved[u] == 0 || b.now.Sub(b.moved[u]) >= restTime
+			if rested && b.loads[u] <= most && (best < 0 || b.loads[u] > b.loads[best]) {
+				best = u
+			}
 		}
 	}
 	return best
@@ -366,17 +391,17 @@
 	blocks := make(map[core.Service]map[int]bool)
 	for _, c := range changes {
 		if cells[c.service] == nil {
-			fresh := new(Cells)
-			if old := a.ledger.Services[c.service]; old != nil {
-				*fresh = *old
+			old := a.ledger.Services[c.service]
+			if old == nil {
+				old = NewCells()
 			}
-			cells[c.service], blocks[c.service] = fresh, make(map[int]bool)
+			cells[c.service], blocks[c.service] = old.Clone(), make(map[int]bool)
 		}
 		if c.cell.Fence == 0 {
 			// Above every earlier token: each append ends at a greater offset.
 			c.cell.Fence = a.ledger.Next + 1
 		}
-		cells[c.service][c.unit] = c.cell
+		cells[c.service].Set(c.unit, c.cell)
 		blocks[c.service][c.unit/unitsPerBlock] = true
 	}
 	var out []replica.Record
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -59,21 +59,16 @@
 func (a *Assigner) syncTasks(now core.Instant) {
 	live := make(map[TaskID]bool)
 	for s, cells := range a.ledger.Services {
-		for u := 0; u < Units; u++ {
-			c := cells[u]
+		for row := range cells.Rows() {
+			c := row.Cell
 			if !c.Moving() {
 				continue
 			}
-			to := u
-			for to+1 < Units && cells[to+1] == c {
-				to++
-			}
-			id := TaskID{Service: s, From: u, Fence: c.Fence}
+			id := TaskID{Service: s, From: row.From, Fence: c.Fence}
 			live[id] = true
 			if _, ok := a.tasks[id]; !ok && len(a.tasks) < maxTasks {
-				a.tasks[id] = &task{id: id, to: to, owner: c.Owner, previous: a.evict(now, c), created: now}
+				a.tasks[id] = &task{id: id, to: row.To, owner: c.Owner, previous: a.evict(now, c), created: now}
 			}
-			u = to
 		}
 	}
 	needed := make(map[Holder]bool)
@@ -150,6 +145,11 @@
 		t.busy, e.trying = true, true
 		return []Output{Release{Task: t.id, Holder: e.holder, From: t.id.From, To: t.to, Fence: t.id.Fence}}
 	case granting:
+		// An assigner that was cut off may have been replaced, and the keys given
+		// to another target since.
+		if now.Sub(a.asOf) > FreshTime {
+			return nil
+		}
 		t.busy = true
 		t.grants++
 		return []Output{Grant{Task: t.id, Holder: t.owner, From: t.id.From, To: t.to, Fence: t.id.Fence, Handover: t.handover}}
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -41,8 +41,9 @@
 	// maxFirstWait bounds that wait.
 	maxFirstWait = 4 * time.Second
 	// firstRow is the number of neighbouring units that the first assignment
-	// keeps together: busy keys lie close together.
-	firstRow = 8
+	// keeps together: busy keys lie close together, and each row is granted by
+	// itself.
+	firstRow = 32
 
 	// settleDelay collects finished moves for one append. Requests for the keys
 	// wait meanwhile.
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -45,6 +45,9 @@
 	maxBackoff = 400 * time.Millisecond
 	// lostBackoff is the pause of the other streams while Owners fails too.
 	lostBackoff = 1200 * time.Millisecond
+	// ownBackoff is the pause on a VM that reads only for itself. All VMs may do
+	// so at the same time in an outage.
+	ownBackoff = 2500 * time.Millisecond
 	// idlePoll is how often a reader that is off looks whether it is wanted.
 	idlePoll = 50 * time.Millisecond
 )
@@ -60,8 +63,10 @@
 	clock  duty.Clock
 	log    logr.Logger
 	on     atomic.Bool
-	next   atomic.Int64
-	lost   atomic.Bool
+	// eager is set on a VM that reads for others.
+	eager atomic.Bool
+	next  atomic.Int64
+	lost  atomic.Bool
 	// probe is the reader that tries most while the store is lost; nil for itself.
 	probe *Reader
 }
@@ -82,8 +87,12 @@
 	return all
 }
 
-// Turn switches the reader on or off.
-func (r *Reader) Turn(on bool) { r.on.Store(on) }
+// Turn switches the reader on or off. An eager one tries a lost store often; a
+// VM that reads only for itself leaves that to others.
+func (r *Reader) Turn(on, eager bool) {
+	r.on.Store(on)
+	r.eager.Store(eager)
+}
 
 // Advance moves the reader past records that came from elsewhere.
 func (r *Reader) Advance(next int64) {
@@ -120,8 +129,14 @@
 // pause returns how long to wait after a failed read. While the store is lost
 // as a whole, one stream tries often enough.
 func (r *Reader) pause(backoff time.Duration) time.Duration {
-	if r.probe != nil && r.probe.lost.Load() {
+	eager := r.eager.Load()
+	switch {
+	case r.probe != nil && r.probe.lost.Load() && eager:
 		return lostBackoff
+	case r.probe != nil && r.probe.lost.Load():
+		return 2 * ownBackoff
+	case !eager:
+		return ownBackoff
 	}
 	return backoff
 }
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -76,8 +76,9 @@
 	Reply Reply
 }
 
-// Reading starts or stops this VM's own reading of the store.
-type Reading struct{ On bool }
+// Reading starts or stops this VM's own reading of the store. Eager is set if
+// other VMs rely on it.
+type Reading struct{ On, Eager bool }
 
 // Following starts or stops this VM's calls to other VMs.
 type Following struct{ On bool }
@@ -92,7 +93,7 @@
 	copy      *Copy
 	waiting   []Ask
 	elected   bool
-	reading   bool
+	reading   Reading
 	following bool
 	// lost is set while the VM's own reading of the store fails.
 	lost bool
@@ -142,7 +143,7 @@
 			kept = append(kept, a)
 			continue
 		}
-		out = append(out, Answer{To: a.Reply, Reply: Reply{Batches: r.batches(a.Have), Direct: r.reading && !r.lost}})
+		out = append(out, Answer{To: a.Reply, Reply: Reply{Batches: r.batches(a.Have), Direct: r.reading.On && !r.lost}})
 	}
 	r.waiting = kept
 	return out
@@ -193,9 +194,9 @@
 	reading := r.elected || now.Before(r.direct)
 	following := !r.elected || stale || r.lost
 	var out []Output
-	if reading != r.reading {
-		r.reading = reading
-		out = append(out, Reading{On: reading})
+	if want := (Reading{On: reading, Eager: r.elected}); want != r.reading {
+		r.reading = want
+		out = append(out, want)
 	}
 	if following != r.following {
 		r.following = following
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// Offer adds a message unless the ring is full, whatever the rule, and reports
+// whether it did. It is for messages that go against the usual direction, so
+// that two duties never wait for each other.
+func (r *Ring[T]) Offer(v T) bool {
+	select {
+	case r.ch <- v:
+		return true
+	default:
+		r.dropped.Add(1)
+		return false
+	}
+}
+
 // C returns the channel that the consumer receives from.
 func (r *Ring[T]) C() <-chan T { return r.ch }
 
