--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -137,6 +137,10 @@
 			_ = n.assignerRing.Put(ctx, result)
 			return
 		}
+		if restarted, err := n.restarted(ctx, o.Holder); restarted || err != nil {
+			_ = n.assignerRing.Put(ctx, result)
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
 		granted, err := n.platform.Grant(call, o.Holder, firstKey(o.From), lastKey(o.To), o.Fence, ownership.Hold, o.Handover)
@@ -174,6 +178,7 @@
 				break
 			}
 			n.metrics.Count("grants")
+			result.Answered++
 			if !granted {
 				result.Refused++
 			}
@@ -186,7 +191,16 @@
 	}
 }
 
-// restarted reports whether a target is cold, as it is after a restart.
+// youngMargin is added to a service's cold time for targets whose own start is
+// the reason that they are cold. It covers wrong clocks.
+const youngMargin = 3 * time.Second
+
+// verifiedTime is for how long a health check speaks for a target's process. It
+// is shorter than any restart.
+const verifiedTime = 200 * time.Millisecond
+
+// restarted reports whether a target is cold although the known process started
+// long ago.
 func (n *Process) restarted(ctx context.Context, h ownership.Holder) (bool, error) {
 	table := n.routes.Table()
 	targets := n.targets.Load()
@@ -194,14 +208,25 @@
 		return false, nil // the directory has nothing to ask with; renewing is all that can be done
 	}
 	service, _ := table.Service(targets.Targets[h.Target].Service)
+	if time.Since(time.UnixMilli(h.Born)) < service.ColdStart+youngMargin {
+		return false, nil
+	}
+	if at, ok := n.verified.Load(h); ok && n.clock().Sub(at.(core.Instant)) < verifiedTime {
+		return false, nil
+	}
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	n.metrics.Count("probes")
+	asked := n.clock()
 	a, err := n.client.Health(call, h.Address, service.HealthPath)
 	if err != nil {
 		return false, err
 	}
-	return n.platform.Dialect().Cold(a.Header) > 0, nil
+	if n.platform.Dialect().Cold(a.Header) > 0 {
+		return true, nil
+	}
+	n.verified.Store(h, asked)
+	return false, nil
 }
 
 // settle asks every member; those that give no answer are asked again.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -85,6 +85,9 @@
 	peers         *duty.Pool
 	appends       *duty.Pool
 
+	// verified holds when a target's process was last seen not to be restarted.
+	verified sync.Map
+
 	pool    *upstream.Pool
 	client  *upstream.Client
 	mesh    *mesh.Client
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -31,10 +31,11 @@
 // Renewed is the result of a Renew or of a grant that the assigner ordered.
 type Renewed struct {
 	Holder Holder
-	// Refused counts rows for which the target has seen a higher token.
-	Refused int
-	// Restarted is set if the target is cold, as after a restart. Nothing was
-	// renewed then.
+	// Answered counts the rows that the target answered, and Refused those of
+	// them for which it has seen a higher token.
+	Answered, Refused int
+	// Restarted is set if the target is cold although the process that the ledger
+	// names started long ago. Nothing was renewed then.
 	Restarted bool
 	// Ended is set if another process answered.
 	Ended bool
@@ -220,7 +221,11 @@
 				continue
 			}
 			s := k.of(c.Owner.Target)
-			if !s.holder.Same(c.Owner) {
+			switch {
+			case c.Owner.Born < s.holder.Born:
+				// The row still names an earlier process of the target.
+				continue
+			case !s.holder.Same(c.Owner):
 				*s = kept{holder: c.Owner, running: s.running, sent: s.sent}
 			}
 			s.rows = append(s.rows, Row{Service: name, From: row.From, To: row.To, Fence: c.Fence})
@@ -258,7 +263,7 @@
 		if !k.same(id, s) {
 			continue
 		}
-		verify := s.confirmed != 0 && now.Sub(s.confirmed) > confirmedTime || s.doubted != 0
+		verify := s.failed || s.confirmed == 0 || now.Sub(s.confirmed) > confirmedTime
 		out = append(out, k.renew(now, s, s.rows, verify))
 		s.fence = newest
 	}
@@ -327,7 +332,7 @@
 		return []Output{Event{Text: "target may have restarted, grants not renewed", Fields: []any{"target", m.Holder.Target, "born", m.Holder.Born, "directory_age_ms", now.Sub(k.directory).Milliseconds()}}}
 	}
 	lost := m.Err != nil
-	if !lost {
+	if m.Answered > 0 {
 		s.confirmed = now
 	}
 	if lost == s.failed && m.Refused == 0 {
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -129,7 +129,8 @@
 	Fence    int64
 }
 
-// Grant gives units to a holder for the time Hold.
+// Grant gives units to a holder for the time Hold, unless it turns out to have
+// been restarted.
 type Grant struct {
 	Task     TaskID
 	Holder   Holder
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -19,7 +19,7 @@
 	// factor leaves the spread that random arrivals make.
 	busyFloor  = 0.45
 	busyFactor = 1.25
-	maxMoves   = 32
+	maxMoves   = 96
 	// balanceInterval is the time between rounds; VMs report as often.
 	balanceInterval = time.Second
 	// restTime is how long a unit stays after a move, so that its load is
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -150,6 +150,11 @@
 		if now.Sub(a.asOf) > FreshTime {
 			return nil
 		}
+		if d, ok := a.targets.Targets[t.owner.Target]; !ok || d.Born != t.owner.Born {
+			// The owner has ended too; the next plan finds another.
+			t.stage, t.finished = done, now
+			return []Output{Event{Text: "owner of moving keys has ended", Fields: t.fields()}}
+		}
 		t.busy = true
 		t.grants++
 		return []Output{Grant{Task: t.id, Holder: t.owner, From: t.id.From, To: t.to, Fence: t.id.Fence, Handover: t.handover}}
