--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,116 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+const start = core.Instant(time.Hour)
+
+func entry(id string, born int64) Entry {
+	return Entry{ID: core.Target(id), Service: "s", FailureDomain: "d", Slots: 4, Born: born}
+}
+
+// Guards against new requests for a target that drains or is gone.
+func TestLeavingTargets(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.Read(start)
+	r.Register(start, entry("a", 1))
+	e := entry("a", 1)
+	e.Draining, e.Sequence = true, 2
+	r.Register(start.Add(time.Second), e)
+	a := r.View().Targets["a"]
+	is.True(!a.Usable())
+	is.Equal(a.LeavingSince, start.Add(time.Second))
+	e.Sequence = 3
+	r.Register(start.Add(2*time.Second), e)
+	is.Equal(r.View().Targets["a"].LeavingSince, start.Add(time.Second)) // counted from the first word
+	r.Remove(start.Add(2*time.Second), "a")
+	is.Equal(len(r.View().Targets), 0)
+}
+
+// Guards against a registration of an earlier process, or an older one of the
+// same process, that arrives late and replaces the newer one.
+func TestOlderRegistrationsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	e := entry("a", 7)
+	e.Sequence = 4
+	is.True(r.Register(start, e))
+	is.True(!r.Register(start, entry("a", 6)))
+	is.True(!r.Register(start, entry("a", 7)))
+	is.Equal(r.View().Targets["a"].Born, int64(7))
+}
+
+// Guards against living targets that are given up because their registrations
+// lapsed while the directory was out of reach, and against gone ones that stay.
+func TestLapsedTargetsMayReturn(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.Read(start)
+	r.Register(start, entry("a", 1))
+	r.Register(start, entry("b", 1))
+	back := start.Add(9 * time.Second)
+	r.Read(back)
+	r.Remove(back, "a")
+	r.Remove(back, "b")
+	is.Equal(len(r.View().Targets), 2)
+	r.Register(back.Add(time.Second), entry("a", 1))
+	r.Tick(back.Add(returnDelay))
+	v := r.View()
+	is.True(v.Targets["a"] != nil)
+	is.True(v.Targets["b"] == nil)
+}
+
+// Guards against an outage that is seen where there was none: a target removed
+// in calm times must be left at once.
+func TestRemovalInCalmTimes(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	for i := range 10 {
+		r.Read(start.Add(time.Duration(i) * 2 * time.Second))
+	}
+	r.Register(start, entry("a", 1))
+	r.Remove(start.Add(18*time.Second), "a")
+	is.Equal(len(r.View().Targets), 0)
+}
+
+// Guards against work for an evacuated failure domain, also for targets that
+// register there meanwhile, and against full load on its return.
+func TestEvacuation(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.SetColdStart("s", 3*time.Second)
+	r.Register(start, entry("a", 1))
+	r.Evacuate(start, "d", true)
+	r.Register(start, entry("b", 1))
+	v := r.View()
+	is.True(!v.Targets["a"].Usable())
+	is.True(!v.Targets["b"].Usable())
+	r.Evacuate(start.Add(time.Second), "d", false)
+	a := r.View().Targets["a"]
+	is.True(a.Usable())
+	is.Equal(a.ColdUntil, start.Add(4*time.Second))
+}
+
+// Guards against a cold time that a later registration of the same process cuts
+// short, and one that outlives the process.
+func TestColdStart(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	e := entry("a", 1)
+	e.ColdFor = 3 * time.Second
+	r.Register(start, e)
+	e.ColdFor, e.Sequence = 0, 1
+	r.Register(start.Add(time.Second), e)
+	is.Equal(r.View().Targets["a"].ColdUntil, start.Add(3*time.Second))
+	r.Register(start.Add(time.Second), entry("a", 2))
+	is.Equal(r.View().Targets["a"].ColdUntil, core.Instant(0))
+	r.Cold(start.Add(time.Second), "a", 2*time.Second)
+	is.Equal(r.View().Targets["a"].ColdUntil, start.Add(3*time.Second))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,7 +109,7 @@
 // View returns the members by name.
 func (r *Roster) View() *View {
 	r.changed = false
-	v := &View{self: r.self, byName: make(map[core.VM]Member, len(r.members)+1)}
+	v := &View{self: r.self, byName: make(map[core.VM]Member, len(r.members)+1), ranked: make(map[rankKey][]Member)}
 	for vm, e := range r.members {
 		v.byName[vm] = e.Member
 	}
@@ -125,6 +126,16 @@
 	self   Member
 	all    []Member
 	byName map[core.VM]Member
+
+	// ranked keeps the orders that were asked for, as they are asked for again
+	// with every change of a target or a key.
+	mu     sync.Mutex
+	ranked map[rankKey][]Member
+}
+
+type rankKey struct {
+	key   string
+	first core.FailureDomain
 }
 
 // Size returns the number of members, this VM included.
@@ -143,8 +154,20 @@
 }
 
 // Ranked returns the members in the order of their hash with a key, those of a
-// failure domain first if one is given.
+// failure domain first if one is given. The caller must not change the result.
 func (v *View) Ranked(key string, first core.FailureDomain) []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	k := rankKey{key, first}
+	list, ok := v.ranked[k]
+	if !ok {
+		list = v.rank(key, first)
+		v.ranked[k] = list
+	}
+	return list
+}
+
+func (v *View) rank(key string, first core.FailureDomain) []Member {
 	type scored struct {
 		Member
 		score uint64
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,49 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+func table(routes ...Route) *Table { return NewTable(Config{Version: 1, Routes: routes}) }
+
+// Guards against a request that is sent by a shorter prefix than the longest
+// one that fits, or by a prefix of another host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	tab := table(
+		Route{Name: "short", Host: "a.example", Prefix: "/x/"},
+		Route{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		Route{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	)
+	is.Equal(tab.Find("a.example", "/x/y/z/1").Name, "long")
+	is.Equal(tab.Find("A.example:8080", "/x/z").Name, "short")
+	is.True(tab.Find("a.example", "/x") == nil) // a prefix ends with a slash
+	is.True(tab.Find("c.example", "/x/y/") == nil)
+}
+
+// Guards against shares that drift from their weights, however short the window.
+func TestBackendsGetTheirWeight(t *testing.T) {
+	is := is.New(t)
+	r := table(Route{Host: "h", Prefix: "/", Backends: []Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}).Find("h", "/")
+	got := map[core.Service]int{}
+	for range 200 {
+		got[r.Pick()]++
+	}
+	is.Equal(got["a"], 180)
+	is.Equal(got["b"], 20)
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestHolderNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var h Holder
+	is.True(h.Apply(Config{Version: 5}))
+	is.True(!h.Apply(Config{Version: 4}))
+	is.True(!h.Apply(Config{Version: 5}))
+	is.True(h.Apply(Config{Version: 9}))
+	is.Equal(h.Table().Version(), int64(9))
+}
--- /dev/null
+++ b/standin/wire/server.go
@@ -0,0 +1,262 @@
+package wire
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"celeryhook.example/celeryhook/standin/target"
+)
+
+// keys is the number of keys of a service that is divided by key.
+const keys = 65536
+
+// ServerOptions describe a server.
+type ServerOptions struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Sharded servers run requests only for keys that they hold.
+	Sharded bool
+}
+
+// Run is a request that a server began to work on.
+type Run struct {
+	Server, ID, Method, URI, Body string
+	At                            time.Time
+}
+
+// Server is a back end that registers itself in the store.
+type Server struct {
+	ServerOptions
+	store   *Store
+	server  *http.Server
+	address string
+	born    int64
+
+	mu       sync.Mutex
+	faults   target.Faults
+	running  int
+	sequence int
+	fence    [keys]int64
+	until    [keys]time.Time
+	runs     []Run
+	orders   int
+}
+
+// StartServer starts a server on a loopback port that the kernel picks, and
+// registers it.
+func StartServer(store *Store, o ServerOptions) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("wire: %w", err)
+	}
+	s := &Server{ServerOptions: o, store: store, address: l.Addr().String(), born: time.Now().UnixMilli()}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	s.Register("ready")
+	return s, nil
+}
+
+// Register writes the server's entry with a state.
+func (s *Server) Register(state string) {
+	s.mu.Lock()
+	s.sequence++
+	entry, err := json.Marshal(map[string]any{
+		"address": s.address, "born": s.born,
+		"info":   map[string]any{"service": s.Service, "version": "v1", "zone": s.Zone, "slots": s.Slots},
+		"status": map[string]any{"state": state, "sequence": s.sequence, "coldLeft": "0ms"},
+	})
+	s.mu.Unlock()
+	if err == nil {
+		s.store.Put("keyed.servers", s.ID, entry)
+	}
+}
+
+// Remove ends the server's registration.
+func (s *Server) Remove() { s.store.Put("keyed.servers", s.ID, nil) }
+
+// Stop ends the server at once.
+func (s *Server) Stop() { _ = s.server.Close() }
+
+// SetFaults changes how the server misbehaves. Of the switches, ServiceTime,
+// Drop, Cut, Duplicate and DropOrders have an effect.
+func (s *Server) SetFaults(f target.Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns the requests that the server began to work on.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs)
+}
+
+// Holds returns how many keys the server holds.
+func (s *Server) Holds() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, until := range s.until {
+		if time.Now().Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// HoldsKey reports whether the server holds a key.
+func (s *Server) HoldsKey(key int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.until[key])
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expect := r.Header.Get("Celeryhook-Expect-Instance"); expect != "" && expect != s.ID {
+		w.Header().Set("Celeryhook-Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.Method == http.MethodPost && r.URL.Path == "/api/grant":
+		s.serveOrder(w, r, s.grant)
+	case r.Method == http.MethodPost && r.URL.Path == "/api/release":
+		s.serveOrder(w, r, s.release)
+	case r.URL.Path == "/health":
+		w.Header().Set("Celeryhook-Instance-Id", s.ID)
+		s.load(w.Header())
+	default:
+		s.serveRequest(w, r)
+	}
+}
+
+type keyOrder struct {
+	From     int    `json:"rangeStart"`
+	To       int    `json:"target"`
+	Fence    int64  `json:"fence"`
+	HoldTime string `json:"hold_time"`
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request, carryOut func(keyOrder) int) {
+	var o keyOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.From > o.To || o.To >= keys {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.orders++
+	status := carryOut(o)
+	lost := rand.Float64() < s.faults.DropOrders
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+func (s *Server) grant(o keyOrder) int {
+	hold, err := time.ParseDuration(o.HoldTime)
+	if err != nil || hold > 10*time.Second {
+		return http.StatusBadRequest
+	}
+	for k := o.From; k <= o.To; k++ {
+		if s.fence[k] > o.Fence {
+			return http.StatusConflict
+		}
+	}
+	for k := o.From; k <= o.To; k++ {
+		s.fence[k], s.until[k] = o.Fence, time.Now().Add(hold)
+	}
+	return http.StatusOK
+}
+
+func (s *Server) release(o keyOrder) int {
+	for k := o.From; k <= o.To; k++ {
+		s.fence[k], s.until[k] = max(s.fence[k], o.Fence), time.Time{}
+	}
+	return http.StatusOK
+}
+
+func (s *Server) load(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set("Celeryhook-Server-Load", fmt.Sprintf("%d,%d,%d,100", min(s.running, s.Slots), max(0, s.running-s.Slots), s.Slots))
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Celeryhook-Request-Id")
+	w.Header().Set("Celeryhook-Request-Id", id)
+	body := readAll(r)
+	s.mu.Lock()
+	key, _ := strconv.Atoi(r.Header.Get("Celeryhook-Shard-Key"))
+	if s.Sharded && !time.Now().Before(s.until[key]) {
+		s.mu.Unlock()
+		w.Header().Set("Celeryhook-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.running++
+	f := s.faults
+	s.runs = append(s.runs, Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: body, At: time.Now()})
+	s.mu.Unlock()
+	time.Sleep(f.ServiceTime)
+	s.load(w.Header())
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	answer := []byte("answer of " + s.ID + " to " + id)
+	w.Header().Set("Celeryhook-Server-Stamp", s.ID+"."+id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	switch x := rand.Float64(); {
+	case x < f.Drop:
+		panic(http.ErrAbortHandler)
+	case x < f.Drop+f.Cut:
+		_, _ = w.Write(answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer)
+}
+
+func readAll(r *http.Request) string {
+	var b []byte
+	buffer := make([]byte, 4096)
+	for {
+		n, err := r.Body.Read(buffer)
+		b = append(b, buffer[:n]...)
+		if err != nil {
+			return string(b)
+		}
+	}
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
+// sorted returns the keys after a given one, in order.
+func sorted(state map[string]newest, after string) []newest {
+	var out []newest
+	for key, v := range state {
+		if key > after {
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, func(a, b newest) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.address }
