--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -130,16 +130,17 @@
 		_ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0))
 	})
 	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.in.Body, limit))
-	if !ended.Stop() || err != nil {
+	inTime := ended.Stop()
+	if !inTime || err != nil {
 		r.w.Header().Set("Connection", "close")
 		var large *http.MaxBytesError
 		switch {
+		case !inTime:
+			return &refusal{status: http.StatusRequestTimeout, reason: "body-incomplete"}
 		case errors.As(err, &large):
 			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
-		case r.in.Context().Err() != nil:
-			return &refusal{status: http.StatusBadRequest, reason: "caller-left"}
 		}
-		return &refusal{status: http.StatusRequestTimeout, reason: "body-incomplete"}
+		return &refusal{status: http.StatusBadRequest, reason: "body-broken-off"}
 	}
 	r.body = body
 	return nil
