--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -81,6 +81,8 @@
 	case MembersChanged:
 		b.members = m.View
 		b.rank()
+	case LimitsChanged:
+		b.limits = m.Limits
 	case Survey:
 		return []Output{Surveyed{To: m.Reply, Load: b.survey(now)}}
 	case Tick:
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -153,6 +153,9 @@
 // MembersChanged brings the VMs of the deployment.
 type MembersChanged struct{ View *roster.View }
 
+// LimitsChanged brings new limits of retries.
+type LimitsChanged struct{ Limits RetryLimits }
+
 // Survey asks for a summary of the load for the assigner. Reply has room for
 // one answer.
 type Survey struct{ Reply chan<- ownership.Load }
@@ -167,6 +170,7 @@
 func (OwnersChanged) message()   {}
 func (ServicesChanged) message() {}
 func (MembersChanged) message()  {}
+func (LimitsChanged) message()   {}
 func (Survey) message()          {}
 func (Tick) message()            {}
 
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
+	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
@@ -82,13 +83,13 @@
 			return err
 		}
 	}
-	n.startDuties()
-	n.run(context.Background(), func(context.Context) {
+	ctx := n.startDuties()
+	n.run(ctx, n.watchReload)
+	n.run(ctx, func(context.Context) {
 		if err := n.ingress.Serve(); err != nil {
 			n.log.Error(err, "callers' listener failed")
 		}
 	})
-	n.watchReload()
 	n.log.Info("gateway started", "vm", n.self.VM, "failure_domain", n.self.FailureDomain, "incarnation", n.self.Incarnation,
 		"callers", n.settings.CallersAddress, "mesh", n.self.Address, "retry_ratio", n.settings.Retry.Ratio, "retry_extra", n.settings.Retry.Extra)
 	return nil
@@ -102,6 +103,7 @@
 		return fmt.Errorf("node: %w", err)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
+	n.servers = append(n.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error(err, "listener failed", "address", address)
@@ -159,20 +161,25 @@
 }
 
 // watchReload reads the settings again when the platform says that they have
-// changed.
-func (n *Process) watchReload() {
+// changed. What the VM listens on stays as it is until a restart.
+func (n *Process) watchReload(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			s, err := n.platform.Settings()
-			if err != nil {
-				n.log.Error(err, "settings not reloaded")
-				continue
-			}
-			n.log.Info("settings reloaded", "changed", !reflect.DeepEqual(s, n.settings), "retry_ratio", s.Retry.Ratio, "retry_extra", s.Retry.Extra)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
 		}
-	}()
+		s, err := n.platform.Settings()
+		if err != nil {
+			n.log.Error(err, "settings not reloaded")
+			continue
+		}
+		_ = n.balanceRing.Put(ctx, balance.LimitsChanged{Limits: s.Retry})
+		n.log.Info("settings reloaded", "changed", !reflect.DeepEqual(s, n.settings), "retry_ratio", s.Retry.Ratio, "retry_extra", s.Retry.Extra)
+	}
 }
 
 // stop ends the VM without cutting a request.
@@ -184,6 +191,9 @@
 	err := n.ingress.Stop(ctx)
 	n.cancel()
 	n.pool.Close()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
 	n.log.Info("gateway stopped", "took_ms", n.clock().Sub(began).Milliseconds())
 	return err
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,373 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"go.uber.org/fx"
+
+	"celeryhook.example/celeryhook/internal/node"
+	"celeryhook.example/celeryhook/platform"
+	standin "celeryhook.example/celeryhook/standin/platform"
+	"celeryhook.example/celeryhook/standin/target"
+	"celeryhook.example/celeryhook/standin/wire"
+)
+
+// patience is a generous bound for progress; safety is asserted at every
+// moment.
+const patience = 60 * time.Second
+
+const config = `{"version":%d,"routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency","priority","maxAttempts","service"],
+"rows":[["read","h","/read/","safe","5s","1s",2,2,"desk"],["book","h","/book/","unsafe","5s","1s",1,2,"desk"],["seat","h","/seat/","safe","5s","1s",2,2,"seats"]]},
+"services":{"columns":["name","healthPath","maxConns","coldStart","coldPerS","sharded"],
+"rows":[["desk","/health",110,"1s",21.0,null],["seats","/health",110,"1s",21.0,true]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}}`
+
+// deployment is a store, servers and gateway VMs on loopback.
+type deployment struct {
+	t       *testing.T
+	store   *wire.Store
+	address string
+	servers []*wire.Server
+	vms     []*vm
+	next    int
+	mu      sync.Mutex
+}
+
+type vm struct {
+	name, zone                   string
+	callers, ready, mesh, config string
+	app                          *fx.App
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, store: wire.NewStore()}
+	s := httptest.NewServer(d.store)
+	t.Cleanup(s.Close)
+	d.address = strings.TrimPrefix(s.URL, "http://")
+	d.configure(1)
+	for i := range 3 {
+		for _, service := range []string{"desk", "seats"} {
+			d.server(wire.ServerOptions{ID: fmt.Sprint(service, i), Service: service, Zone: fmt.Sprint("z", i%2), Slots: 8, Sharded: service == "seats"})
+		}
+	}
+	t.Cleanup(d.stopAll)
+	for i := range 3 {
+		d.vm(fmt.Sprint("v", i), fmt.Sprint("z", i%2))
+	}
+	for _, v := range d.vms {
+		d.until("VM "+v.name+" is ready", func() bool { return d.isReady(v) })
+	}
+	return d
+}
+
+func (d *deployment) configure(version int) {
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, config, version))
+}
+
+func (d *deployment) server(o wire.ServerOptions) *wire.Server {
+	s, err := wire.StartServer(d.store, o)
+	is.New(d.t).NoErr(err)
+	d.t.Cleanup(s.Stop)
+	d.servers = append(d.servers, s)
+	return s
+}
+
+// port returns a loopback address that was free a moment ago.
+func port(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (d *deployment) vm(name, zone string) *vm {
+	v := &vm{name: name, zone: zone, callers: port(d.t), ready: port(d.t), mesh: port(d.t), config: filepath.Join(d.t.TempDir(), "settings.json")}
+	var seeds []string
+	for _, o := range d.vms {
+		seeds = append(seeds, o.mesh)
+	}
+	b, err := json.Marshal(map[string]any{
+		"nodeName": name, "ip": "127.0.0.1", "zone": zone, "seeds": seeds, "contracts": []string{"platform"},
+		"listen":   map[string]string{"front": v.callers, "readyAddr": v.ready, "control": v.mesh},
+		"bounds":   []string{"grace=6s", "retryBudgetRatio=0.2", "budgetExtra=60"},
+		"platform": map[string]string{"address": d.address, "form": "log"},
+	})
+	is.New(d.t).NoErr(err)
+	is.New(d.t).NoErr(os.WriteFile(v.config, b, 0o600))
+	d.vms = append(d.vms, v)
+	d.start(v)
+	return v
+}
+
+func (d *deployment) start(v *vm) {
+	p, s, err := platform.Open(v.config)
+	is.New(d.t).NoErr(err)
+	v.app = fx.New(node.Module(s, p, node.Options{TraceExporter: "none"}, logr.Discard()))
+	is.New(d.t).NoErr(v.app.Start(context.Background()))
+}
+
+func (d *deployment) stop(v *vm) {
+	if v.app == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_ = v.app.Stop(ctx)
+	v.app = nil
+}
+
+func (d *deployment) stopAll() {
+	var stopped sync.WaitGroup
+	for _, v := range d.vms {
+		stopped.Add(1)
+		go func() {
+			defer stopped.Done()
+			d.stop(v)
+		}()
+	}
+	stopped.Wait()
+}
+
+func (d *deployment) isReady(v *vm) bool {
+	res, err := http.Get("http://" + v.ready + "/api/ready")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (d *deployment) until(what string, done func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// reply is what a caller saw.
+type reply struct {
+	id, body string
+	status   int
+	signed   bool
+}
+
+// send makes one request with a new id.
+func (d *deployment) send(v *vm, method, path string, key int) (reply, error) {
+	d.mu.Lock()
+	d.next++
+	id := fmt.Sprint("r", d.next)
+	d.mu.Unlock()
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+v.callers+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Host = "h"
+	req.Header.Set("Celeryhook-Request-Id", id)
+	req.Header.Set("Celeryhook-Deadline-Ms", "4000")
+	req.Header.Set("Celeryhook-Shard-Key", fmt.Sprint(key))
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{id: id}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return reply{id: id, body: string(b), status: res.StatusCode, signed: res.Header.Get("Celeryhook-Server-Stamp") != ""}, err
+}
+
+// check asserts what must hold for every answer: a success is the server's own
+// whole answer to this request.
+func (d *deployment) check(r reply) {
+	if r.status == http.StatusOK && (!r.signed || !strings.HasSuffix(r.body, " to "+r.id)) {
+		d.t.Errorf("request %s got %q", r.id, r.body)
+	}
+}
+
+// runs counts how often each request was run.
+func (d *deployment) runs() map[string]int {
+	out := make(map[string]int)
+	for _, s := range d.servers {
+		for _, r := range s.Runs() {
+			out[r.ID]++
+		}
+	}
+	return out
+}
+
+// Guards against the whole path failing on a calm day: every kind of request
+// through every VM, and keys that have exactly one holder.
+func TestCalmDay(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	for i := range 60 {
+		v := d.vms[i%3]
+		for _, c := range []struct{ method, path string }{{"GET", "/read/1"}, {"POST", "/book/1"}, {"GET", "/seat/1"}} {
+			d.until(c.path+" is answered", func() bool {
+				r, err := d.send(v, c.method, c.path, i*1000)
+				is.NoErr(err)
+				d.check(r)
+				return r.status == http.StatusOK
+			})
+		}
+	}
+	for key := 0; key < 65536; key += 97 {
+		holders := 0
+		for _, s := range d.servers {
+			if s.HoldsKey(key) {
+				holders++
+			}
+		}
+		is.True(holders <= 1)
+	}
+	r, err := d.send(d.vms[0], "GET", "/nowhere", 0)
+	is.NoErr(err)
+	is.Equal(r.status, http.StatusNotFound)
+}
+
+// Guards against a booking that runs twice, or one that is refused as not run
+// and has run, while servers lose and cut answers.
+func TestBookingsRunAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	for _, s := range d.servers {
+		s.SetFaults(target.Faults{Drop: 0.2, Cut: 0.1, ServiceTime: time.Millisecond})
+	}
+	answers := make(map[string]int)
+	for i := range 300 {
+		r, err := d.send(d.vms[i%3], "POST", "/book/1", 0)
+		is.NoErr(err)
+		d.check(r)
+		answers[r.id] = r.status
+	}
+	runs := d.runs()
+	for id, status := range answers {
+		if runs[id] > 1 {
+			t.Errorf("request %s ran %d times", id, runs[id])
+		}
+		if status == http.StatusServiceUnavailable && runs[id] > 0 {
+			t.Errorf("request %s was refused and ran", id)
+		}
+		if status == http.StatusOK && runs[id] != 1 {
+			t.Errorf("request %s was answered and ran %d times", id, runs[id])
+		}
+	}
+}
+
+// Guards against keys that stop being served while the store is away, and a VM
+// that starts then and knows nothing: it learns from its seeds.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	d.store.SetFaults(standin.Faults{Down: true})
+	d.stop(d.vms[2])
+	d.start(d.vms[2])
+	d.until("the restarted VM is ready", func() bool { return d.isReady(d.vms[2]) })
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for key := 0; key < 65536; key += 7001 {
+			holders := 0
+			for _, s := range d.servers {
+				if s.HoldsKey(key) {
+					holders++
+				}
+			}
+			is.True(holders <= 1)
+		}
+	}
+	for _, v := range d.vms {
+		d.until("a key is served through "+v.name, func() bool {
+			r, err := d.send(v, "GET", "/seat/1", 4711)
+			is.NoErr(err)
+			d.check(r)
+			return r.status == http.StatusOK
+		})
+	}
+}
+
+// Guards against new work for a server that drains, and keys that stay there.
+func TestDrainingServer(t *testing.T) {
+	d := newDeployment(t)
+	leaving := d.servers[1]
+	leaving.Register("draining")
+	d.until("its keys have moved", func() bool { return leaving.Holds() == 0 })
+	time.Sleep(2 * time.Second) // the bound within which new work must end
+	before := len(leaving.Runs())
+	for i := range 100 {
+		r, err := d.send(d.vms[i%3], "GET", "/seat/1", i*600)
+		is.New(t).NoErr(err)
+		d.check(r)
+	}
+	is.New(t).Equal(len(leaving.Runs()), before)
+}
+
+// Guards against a planned stop that cuts requests, and against a restart that
+// takes keys from their holders.
+func TestRollingRestart(t *testing.T) {
+	d := newDeployment(t)
+	end := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				r, err := d.send(d.vms[(i+n)%3], "POST", "/book/1", 0)
+				if err == nil {
+					d.check(r)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+	}
+	for _, v := range d.vms {
+		d.stop(v)
+		d.start(v)
+		d.until("VM "+v.name+" is ready again", func() bool { return d.isReady(v) })
+	}
+	close(end)
+	callers.Wait()
+	for id, n := range d.runs() {
+		if n > 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
+
+// Guards against a configuration that goes back, or isn't in force everywhere.
+func TestConfigurationChange(t *testing.T) {
+	d := newDeployment(t)
+	changed := strings.Replace(fmt.Sprintf(config, 5), "/read/", "/lookup/", 1)
+	d.store.Put("keyed.op", "config", []byte(changed))
+	for _, v := range d.vms {
+		d.until("the new route is served by "+v.name, func() bool {
+			r, err := d.send(v, "GET", "/lookup/1", 0)
+			return err == nil && r.status == http.StatusOK
+		})
+	}
+	d.configure(4)
+	time.Sleep(500 * time.Millisecond)
+	for _, v := range d.vms {
+		r, err := d.send(v, "GET", "/read/1", 0)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(r.status, http.StatusNotFound)
+	}
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,7 @@
 	client  *upstream.Client
 	mesh    *mesh.Client
 	ingress *ingress.Server
+	servers []*http.Server
 
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -134,8 +136,8 @@
 	return n
 }
 
-// startDuties starts all duties and pools.
-func (n *Process) startDuties() {
+// startDuties starts all duties and pools. The context ends with them.
+func (n *Process) startDuties() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	random := rand.New(rand.NewPCG(uint64(n.self.Incarnation), uint64(len(n.self.VM))))
@@ -160,6 +162,7 @@
 	n.every(ctx, sweepInterval, func(context.Context) { n.pool.Sweep() })
 	n.every(ctx, rosterTick, n.tickRoster)
 	n.every(ctx, readinessInterval, n.checkReady)
+	return ctx
 }
 
 func (n *Process) run(ctx context.Context, f func(context.Context)) {
