--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -161,13 +161,13 @@
 	left := a.Until.Sub(now)
 	expected := t.expected(now, b.standardTime(a.Service))
 	if expected > left {
-		return Decision{Verdict: Refuse, Reason: "deadline", RetryAfter: b.retryAfter(now, t), Expected: expected, Occupancy: t.occupancy(now)}
+		return Decision{Verdict: Refuse, Target: Target{ID: t.ID}, Reason: "deadline", RetryAfter: b.retryAfter(now, t), Expected: expected, Occupancy: t.occupancy(now)}
 	}
 	if a.Kind != First && !b.budget(a.Service).spend(a.Kind, b.limits, b.size()) {
 		return Decision{Verdict: Refuse, Reason: "retry-budget", RetryAfter: absentRetryAfter}
 	}
 	if t.ColdUntil.After(now) && !t.gate.allow(now, service, t.rank, b.size()) {
-		return Decision{Verdict: Refuse, Reason: "cold", RetryAfter: absentRetryAfter}
+		return Decision{Verdict: Refuse, Target: Target{ID: t.ID}, Reason: "cold", RetryAfter: absentRetryAfter}
 	}
 	age := time.Duration(-1)
 	if t.report != nil {
@@ -219,7 +219,7 @@
 	case best != nil:
 		return best, Decision{}
 	case full != nil:
-		return nil, Decision{Verdict: Refuse, Reason: "full", RetryAfter: b.retryAfter(now, full), Occupancy: full.occupancy(now)}
+		return nil, Decision{Verdict: Refuse, Target: Target{ID: full.ID}, Reason: "full", RetryAfter: b.retryAfter(now, full), Occupancy: full.occupancy(now)}
 	}
 	return nil, Decision{Verdict: Refuse, Reason: "no-target", RetryAfter: absentRetryAfter}
 }
@@ -261,18 +261,18 @@
 		return nil, Decision{Verdict: Wait, Reason: "no-owner", RetryAfter: absentRetryAfter}
 	}
 	if cell.Moving() {
-		return nil, Decision{Verdict: Wait, Reason: "moving", RetryAfter: absentRetryAfter}
+		return nil, Decision{Verdict: Wait, Target: Target{ID: cell.Owner.Target}, Reason: "moving", RetryAfter: absentRetryAfter}
 	}
 	t := b.targets[cell.Owner.Target]
 	switch {
 	case t == nil || t.Born != cell.Owner.Born:
-		return nil, Decision{Verdict: Wait, Reason: "owner-lost", RetryAfter: absentRetryAfter}
+		return nil, Decision{Verdict: Wait, Target: Target{ID: cell.Owner.Target}, Reason: "owner-lost", RetryAfter: absentRetryAfter}
 	case t.unreachable || t.ended:
-		return nil, Decision{Verdict: Wait, Reason: "owner-unreachable", RetryAfter: absentRetryAfter}
+		return nil, Decision{Verdict: Wait, Target: Target{ID: t.ID}, Reason: "owner-unreachable", RetryAfter: absentRetryAfter}
 	case !t.Usable() && now.Sub(t.LeavingSince) > leavingTime:
-		return nil, Decision{Verdict: Wait, Reason: "owner-leaving", RetryAfter: absentRetryAfter}
+		return nil, Decision{Verdict: Wait, Target: Target{ID: t.ID}, Reason: "owner-leaving", RetryAfter: absentRetryAfter}
 	case b.full(now, t, a.Priority):
-		return nil, Decision{Verdict: Refuse, Reason: "full", RetryAfter: b.retryAfter(now, t), Occupancy: t.occupancy(now)}
+		return nil, Decision{Verdict: Refuse, Target: Target{ID: t.ID}, Reason: "full", RetryAfter: b.retryAfter(now, t), Occupancy: t.occupancy(now)}
 	}
 	return t, Decision{}
 }
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -59,7 +59,9 @@
 // Decision is the answer to an Ask.
 type Decision struct {
 	Verdict Verdict
-	Target  Target
+	// Target is where to send. Without a Send, only its ID is set, if a target
+	// was the reason.
+	Target Target
 	// Reason names what decided, for logs and counters.
 	Reason string
 	// RetryAfter is when a refused caller may come back.
--- a/internal/discovery/step.go
+++ b/internal/discovery/step.go
@@ -90,7 +90,8 @@
 	case Tick:
 		d.registry.Tick(now)
 	}
-	if d.registry.Changed() {
+	// Many records come at a time when a copy is read whole; they make one view.
+	if _, tick := m.(Tick); tick && d.registry.Changed() {
 		out = append(out, Updated{View: d.registry.View()})
 	}
 	return out
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -106,7 +106,7 @@
 	}
 	if r.sends > 0 || r.reason != "" {
 		fields = append(fields,
-			"sends", r.sends, "targets", r.tried, "decision", r.reason, "expected_ms", r.decided.expected.Milliseconds(),
+			"sends", r.sends, "targets", r.tried, "decision", r.reason, "about", r.decided.target, "expected_ms", r.decided.expected.Milliseconds(),
 			"occupancy", r.decided.occupancy, "load_age_ms", r.decided.loadAge.Milliseconds(), "waited_ms", r.decided.waited.Milliseconds())
 	}
 	if err != nil {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -145,9 +145,9 @@
 
 func (r *request) note(d balance.Decision) {
 	r.reason = d.Reason
+	r.decided.target = d.Target.ID
 	r.decided.expected, r.decided.occupancy, r.decided.loadAge = d.Expected, d.Occupancy, d.LoadAge
 	if d.Verdict == balance.Send {
-		r.decided.target = d.Target.ID
 		r.tried = append(r.tried, d.Target.ID)
 		r.sends++
 	}
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -158,7 +158,7 @@
 		for _, m := range o.View.All() {
 			names = append(names, m.VM)
 		}
-		reader := o.View.Rank(readerKey, n.self.FailureDomain) == 0
+		reader := o.View.StrongRank(readerKey, n.self.FailureDomain) == 0
 		n.log.Info("members of the deployment", "count", len(names), "vms", names, "reader", reader)
 		n.replicaRing.Offer(replica.Elected{Reader: reader})
 		_ = n.balanceRing.Put(ctx, balance.MembersChanged{View: o.View})
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -43,7 +43,7 @@
 
 	tickInterval      = 100 * time.Millisecond
 	replicaTick       = 50 * time.Millisecond
-	discoveryTick     = 200 * time.Millisecond
+	discoveryTick     = 40 * time.Millisecond
 	rosterTick        = 200 * time.Millisecond
 	reportInterval    = time.Second
 	sweepInterval     = time.Second
@@ -104,7 +104,7 @@
 	n := &Process{
 		settings: s, platform: p, log: log, metrics: m, clock: clock,
 		self: roster.Member{
-			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.MeshAddress, Incarnation: time.Now().UnixMilli(),
+			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.MeshAddress, Incarnation: time.Now().UnixMilli(), Capacity: s.Capacity,
 		},
 		ledger:        ownership.NewLedger(),
 		replicaRing:   ring.New[replica.Message]("replica", stateRing, ring.Block),
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,8 @@
 	// StopTimeout is how long the process may take to stop after SIGTERM.
 	StopTimeout time.Duration
 	Retry       balance.RetryLimits
+	// Capacity is the VM's processor time in cores.
+	Capacity float64
 }
 
 // Platform is what a gateway VM needs of the platform it runs on. The adapter
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -155,7 +155,7 @@
 	if lead, ok := a.members.Member(a.ledger.Lead.VM); ok && lead.Incarnation > a.ledger.Lead.Incarnation {
 		wait = 0
 	}
-	wait += time.Duration(a.members.Rank(leadKey, "")) * leadStagger
+	wait += time.Duration(a.members.StrongRank(leadKey, "")) * leadStagger
 	if a.leadSeen == 0 {
 		a.leadSeen = now
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,6 +34,8 @@
 	// Incarnation differs between processes of the same VM; a later process has
 	// a greater one.
 	Incarnation int64 `json:"incarnation"`
+	// Capacity is the VM's processor time in cores.
+	Capacity float64 `json:"capacity"`
 }
 
 // Encode returns the record's bytes.
@@ -134,8 +136,9 @@
 }
 
 type rankKey struct {
-	key   string
-	first core.FailureDomain
+	key    string
+	first  core.FailureDomain
+	strong bool
 }
 
 // Size returns the number of members, this VM included.
@@ -156,31 +159,44 @@
 // Ranked returns the members in the order of their hash with a key, those of a
 // failure domain first if one is given. The caller must not change the result.
 func (v *View) Ranked(key string, first core.FailureDomain) []Member {
+	return v.order(rankKey{key: key, first: first})
+}
+
+// Strongest returns the members by capacity and then by hash, those of a failure
+// domain first if one is given. It is for duties that take processor time for
+// all others. The caller must not change the result.
+func (v *View) Strongest(key string, first core.FailureDomain) []Member {
+	return v.order(rankKey{key: key, first: first, strong: true})
+}
+
+func (v *View) order(k rankKey) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	k := rankKey{key, first}
 	list, ok := v.ranked[k]
 	if !ok {
-		list = v.rank(key, first)
+		list = v.sort(k)
 		v.ranked[k] = list
 	}
 	return list
 }
 
-func (v *View) rank(key string, first core.FailureDomain) []Member {
+func (v *View) sort(k rankKey) []Member {
 	type scored struct {
 		Member
 		score uint64
 	}
 	list := make([]scored, len(v.all))
 	for i, m := range v.all {
-		list[i] = scored{m, xxhash.Sum64String(key + "\x00" + string(m.VM))}
+		list[i] = scored{m, xxhash.Sum64String(k.key + "\x00" + string(m.VM))}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
-		if in := a.FailureDomain == first; in != (b.FailureDomain == first) {
+		if in := a.FailureDomain == k.first; in != (b.FailureDomain == k.first) {
 			return in
 		}
+		if k.strong && a.Capacity != b.Capacity {
+			return a.Capacity > b.Capacity
+		}
 		return a.score > b.score
 	})
 	out := make([]Member, len(list))
@@ -192,19 +208,28 @@
 
 // Rank returns this VM's place in Ranked.
 func (v *View) Rank(key string, first core.FailureDomain) int {
-	for i, m := range v.Ranked(key, first) {
+	return v.place(v.Ranked(key, first))
+}
+
+// StrongRank returns this VM's place in Strongest.
+func (v *View) StrongRank(key string, first core.FailureDomain) int {
+	return v.place(v.Strongest(key, first))
+}
+
+func (v *View) place(list []Member) int {
+	for i, m := range list {
 		if m.VM == v.self.VM {
 			return i
 		}
 	}
-	return len(v.all)
+	return len(list)
 }
 
 // Sources returns the other members in the order in which this VM follows them:
 // the first of its own failure domain by rank, the first of every other one,
 // and then the rest.
 func (v *View) Sources(key string) []Member {
-	ranked := v.Ranked(key, v.self.FailureDomain)
+	ranked := v.Strongest(key, v.self.FailureDomain)
 	seen := make(map[core.FailureDomain]bool)
 	var first, rest []Member
 	for _, m := range ranked {
