--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/ring"
+)
+
+const (
+	grantTimeout = 300 * time.Millisecond
+	// maxOrderDelay bounds how long a grant waits for a worker. What decided it
+	// may not hold later.
+	maxOrderDelay = 200 * time.Millisecond
+	// releaseTimeout leaves the work on the keys time to end.
+	releaseTimeout = 1200 * time.Millisecond
+)
+
+func firstKey(unit int) uint16 { return uint16(unit * ownership.KeysPerUnit) }
+func lastKey(unit int) uint16  { return uint16((unit+1)*ownership.KeysPerUnit - 1) }
+
+func (n *Process) release(ctx context.Context, o ownership.Release) {
+	result := ownership.Released{Task: o.Task, Outcome: ownership.ReleaseUnknown}
+	err := n.orders.Submit(ctx, func(ctx context.Context) {
+		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		handover, err := n.platform.Release(call, o.Holder, firstKey(o.From), lastKey(o.To), o.Fence)
+		switch {
+		case err == nil:
+			result.Outcome, result.Handover = ownership.ReleaseConfirmed, handover
+		case errors.Is(err, ErrOtherProcess):
+			result.Outcome = ownership.ReleaseEnded
+		default:
+			n.metrics.Count("releases_failed")
+		}
+		_ = n.assignerRing.Put(ctx, result)
+	})
+	if err != nil {
+		n.assignerRing.Offer(result)
+	}
+}
+
+func (n *Process) grant(ctx context.Context, o ownership.Grant) {
+	// The keeper must know before the grant leaves.
+	_ = n.keeperRing.Put(ctx, ownership.Ordered{Target: o.Holder.Target})
+	result := ownership.Granted{Task: o.Task}
+	decided := n.clock()
+	err := n.orders.Submit(ctx, func(ctx context.Context) {
+		if n.clock().Sub(decided) > maxOrderDelay {
+			_ = n.assignerRing.Put(ctx, result)
+			return
+		}
+		if restarted, err := n.restarted(ctx, o.Holder); restarted || err != nil {
+			_ = n.assignerRing.Put(ctx, result)
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
+		granted, err := n.platform.Grant(call, o.Holder, firstKey(o.From), lastKey(o.To), o.Fence, ownership.Hold, o.Handover)
+		result.OK = err == nil && granted
+		if err != nil {
+			n.metrics.Count("grants_failed")
+		}
+		_ = n.keeperRing.Put(ctx, ownership.Ordered{Target: o.Holder.Target})
+		_ = n.assignerRing.Put(ctx, result)
+	})
+	if err != nil {
+		n.assignerRing.Offer(result)
+	}
+}
+
+func (n *Process) renew(ctx context.Context, o ownership.Renew) {
+	result := ownership.Renewed{Holder: o.Holder, Started: n.clock()}
+	err := n.orders.Submit(ctx, func(ctx context.Context) {
+		if o.Verify {
+			result.Restarted, result.Err = n.restarted(ctx, o.Holder)
+		}
+		for _, row := range o.Rows {
+			if result.Restarted || result.Err != nil {
+				break
+			}
+			if n.clock().Sub(result.Started) > maxOrderDelay {
+				break // the rest is due again
+			}
+			call, cancel := context.WithTimeout(ctx, grantTimeout)
+			granted, err := n.platform.Grant(call, o.Holder, firstKey(row.From), lastKey(row.To), row.Fence, ownership.Hold, "")
+			cancel()
+			if err != nil {
+				n.metrics.Count("grants_failed")
+				result.Err, result.Ended = err, errors.Is(err, ErrOtherProcess)
+				break
+			}
+			n.metrics.Count("grants")
+			result.Answered++
+			if !granted {
+				result.Refused++
+			}
+		}
+		_ = n.keeperRing.Put(ctx, result)
+	})
+	if err != nil {
+		result.Err = ring.ErrFull
+		n.keeperRing.Offer(result)
+	}
+}
+
+// youngMargin is added to a service's cold time for targets whose own start is
+// the reason that they are cold. It covers wrong clocks.
+const youngMargin = 3 * time.Second
+
+// verifiedTime is for how long a health check speaks for a target's process. It
+// is shorter than any restart.
+const verifiedTime = 200 * time.Millisecond
+
+// restarted reports whether a target is cold although the known process started
+// long ago.
+func (n *Process) restarted(ctx context.Context, h ownership.Holder) (bool, error) {
+	table := n.routes.Table()
+	targets := n.targets.Load()
+	if table == nil || targets == nil || targets.Targets[h.Target] == nil {
+		return false, nil // the directory has nothing to ask with; renewing is all that can be done
+	}
+	service, _ := table.Service(targets.Targets[h.Target].Service)
+	if time.Since(time.UnixMilli(h.Born)) < service.ColdStart+youngMargin {
+		return false, nil
+	}
+	if at, ok := n.verified.Load(h); ok && n.clock().Sub(at.(core.Instant)) < verifiedTime {
+		return false, nil
+	}
+	call, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	n.metrics.Count("probes")
+	asked := n.clock()
+	a, err := n.client.Health(call, h.Address, service.HealthPath)
+	if err != nil {
+		return false, err
+	}
+	if n.platform.Dialect().Cold(a.Header) > 0 {
+		return true, nil
+	}
+	n.verified.Store(h, asked)
+	return false, nil
+}
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,3 +111,32 @@
 		t.Errorf("hops.target = %d, want 2", n)
 	}
 }
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(b)
+}
+
+// Guards against a log that holds up the process while nobody reads it, or
+// drops lines without a word.
+func TestBoundedLoggerNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	w := &slowWriter{release: make(chan struct{})}
+	log, flush := NewBoundedLogger(w)
+	for i := range 2 * lineBurst {
+		log.Info("line", "n", i)
+	}
+	close(w.release)
+	flush()
+	is.True(strings.Contains(w.text.String(), `"n":0`))
+	is.True(strings.Contains(w.text.String(), "log lines dropped"))
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,80 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/core"
+)
+
+const start = core.Instant(time.Hour)
+
+func member(vm, domain string, capacity float64) Member {
+	return Member{VM: core.VM(vm), FailureDomain: core.FailureDomain(domain), Address: vm + ":1", Capacity: capacity}
+}
+
+// Guards against VMs that disagree on ranks although they know the same members.
+func TestAllVMsRankAlike(t *testing.T) {
+	is := is.New(t)
+	all := []Member{member("a", "x", 1), member("b", "x", 2), member("c", "y", 1), member("d", "y", 2)}
+	var first []Member
+	for _, self := range all {
+		r := New(self)
+		for _, m := range all {
+			r.Renew(start, m)
+		}
+		ranked := r.View().Ranked("t1", "y")
+		is.Equal(string(ranked[0].FailureDomain), "y")
+		if first == nil {
+			first = ranked
+		}
+		is.Equal(ranked, first)
+		is.Equal(string(r.View().Strongest("lead", "x")[0].VM), "b")
+	}
+}
+
+// Guards against a VM that follows itself, and one that asks all VMs of its own
+// failure domain before the reader of another one.
+func TestSources(t *testing.T) {
+	is := is.New(t)
+	r := New(member("a", "x", 2))
+	for _, m := range []Member{member("b", "x", 1), member("c", "x", 1), member("d", "y", 1), member("e", "y", 2)} {
+		r.Renew(start, m)
+	}
+	sources := r.View().Sources("reader")
+	is.Equal(len(sources), 4)
+	is.Equal(string(sources[0].VM), "e")
+}
+
+// Guards against lost VMs that count for ever, and against an earlier process
+// that replaces a later one.
+func TestExpiry(t *testing.T) {
+	is := is.New(t)
+	r := New(member("a", "x", 1))
+	late := member("b", "x", 1)
+	late.Incarnation = 2
+	r.Renew(start, late)
+	r.Renew(start, member("b", "x", 1))
+	got, _ := r.View().Member("b")
+	is.Equal(got.Incarnation, int64(2))
+	r.Expire(start.Add(Expiry))
+	is.Equal(r.View().Size(), 2)
+	r.Expire(start.Add(Expiry + time.Second))
+	is.Equal(r.View().Size(), 1) // the VM itself stays
+}
+
+// Guards against a record that can't be read or names nobody.
+func TestDecode(t *testing.T) {
+	is := is.New(t)
+	b, err := member("a", "x", 0.5).Encode()
+	is.NoErr(err)
+	m, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(m, member("a", "x", 0.5))
+	for _, bad := range []string{"", "[]", `{"vm":"a"}`} {
+		_, err := Decode([]byte(bad))
+		is.True(err != nil)
+	}
+}
