--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -62,16 +62,15 @@
 
 	routes routing.Holder
 	// ledger is folded by the replica's duty and read by others.
-	ledger     *ownership.Ledger
-	owners     atomic.Pointer[ownership.View]
-	members    atomic.Pointer[roster.View]
-	targets    atomic.Pointer[discovery.View]
-	membersAt  atomic.Int64
-	targetsAt  atomic.Int64
-	leading    atomic.Bool
-	ready      atomic.Bool
-	stopping   atomic.Bool
-	leadBefore int64
+	ledger    *ownership.Ledger
+	owners    atomic.Pointer[ownership.View]
+	members   atomic.Pointer[roster.View]
+	targets   atomic.Pointer[discovery.View]
+	membersAt atomic.Int64
+	targetsAt atomic.Int64
+	leading   atomic.Bool
+	ready     atomic.Bool
+	stopping  atomic.Bool
 
 	replicaRing   *ring.Ring[replica.Message]
 	discoveryRing *ring.Ring[discovery.Message]
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -44,7 +44,6 @@
 	ledger      *Ledger
 	asOf        core.Instant
 	known       []replica.Record
-	directory   map[core.Target]discovery.Entry
 	directoryAt core.Instant
 }
 
--- a/internal/roster/step.go
+++ b/internal/roster/step.go
@@ -46,7 +46,6 @@
 	self    Member
 	roster  *Roster
 	written core.Instant
-	fresh   bool
 }
 
 // NewDuty returns a duty that knows only this VM.
