read-through: one copy of what stood twice, and dead state removed

- duty.Sleep replaces five context-aware sleeps (accept, forward, ingress, platformlog, replica); accept.EndToEnd replaces the second filter of headers of one hop; respond.JSON replaces three writeJSON of the stand-ins; io.ReadAll replaces a loop; ring.Put calls Offer; core.Rendezvous ranks the VMs.
- node: an unread time, a WaitGroup that nobody waited for, and a wrapper that kept what the ledger's lead already says are gone.
- ownership: the assigner looks at every unit for moves only when the ledger has changed, not with every message; a change of targets no longer rebuilds the rows of the keeper.
- The name of the platform's settings variable stays in platform/.

The hash that ranks VMs differs, so other VMs read and renew than before; the rest behaves as it did.

--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/observe"
 )
 
@@ -82,7 +83,7 @@
 		l.metrics.Count("quiesce_failed")
 		return
 	}
-	pause(ctx, quiesceTime)
+	duty.Sleep(ctx, quiesceTime)
 }
 
 // Close implements net.Listener.
@@ -92,13 +93,7 @@
 }
 
 // Linger waits until no connection is read any more after Shutdown.
-func Linger(ctx context.Context) { pause(ctx, linger) }
-
-func pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-ctx.Done()
-}
+func Linger(ctx context.Context) { duty.Sleep(ctx, linger) }
 
 // Bind lets the server tell connections of this listener in which state they
 // are.
--- a/internal/accept/read.go
+++ b/internal/accept/read.go
@@ -220,9 +220,20 @@
 	return h.Sum64()
 }
 
-// forwardedHeader returns the headers that go on to the target: none that
-// belong to one hop, nor those that the Connection header names.
+// forwardedHeader returns the headers that go on to the target.
 func forwardedHeader(h http.Header) http.Header {
+	out := EndToEnd(h)
+	for name := range out {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), "Celeryhook-") {
+			delete(out, name)
+		}
+	}
+	return out
+}
+
+// EndToEnd returns the headers that are passed on: none that belong to one hop,
+// nor those that the Connection header names. The values are shared.
+func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for name, values := range h {
 		if !hopHeader(name) {
@@ -244,5 +255,5 @@
 		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect":
 		return true
 	}
-	return strings.HasPrefix(http.CanonicalHeaderKey(name), "Celeryhook-")
+	return false
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 
 	"go.uber.org/fx"
 
@@ -14,7 +13,7 @@
 type gatewayCommand struct {
 	streams
 	options       []fx.Option
-	Settings      string `short:"s" long:"settings" description:"the platform's settings file (JSON); default: the file that CELERYHOOK_CONFIG names"`
+	Settings      string `short:"s" long:"settings" description:"the platform's settings file (JSON); default: where the platform has put it"`
 	Metrics       string `long:"metrics" description:"address where metrics are served as text under /metrics; default: nowhere"`
 	TraceExporter string `long:"trace-exporter" default:"none" description:"where spans go: none, stdout or otlp"`
 	TraceEndpoint string `long:"trace-endpoint" description:"address of the otlp collector"`
@@ -24,10 +23,10 @@
 func (c *gatewayCommand) Execute([]string) error {
 	path := c.Settings
 	if path == "" {
-		path = os.Getenv(platform.SettingsVariable)
-	}
-	if path == "" {
-		return usageError{fmt.Errorf("no settings file: give --settings or set %s", platform.SettingsVariable)}
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			return usageError{fmt.Errorf("no --settings: %w", err)}
+		}
 	}
 	p, s, err := platform.Open(path)
 	if err != nil {
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -61,27 +61,12 @@
 			answer = j.run(ctx, d)
 		}
 		pause, again := route.Pause(answer.Outcome, call.Request.Idempotent, attempts)
-		if !again || e.clock().Add(pause+route.MinAttempt).After(call.Request.Deadline) || !sleep(ctx, pause) {
+		if !again || e.clock().Add(pause+route.MinAttempt).After(call.Request.Deadline) || !duty.Sleep(ctx, pause) {
 			return answer
 		}
 	}
 }
 
-// sleep waits; it returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (j *journey) lookup(ctx context.Context, last core.Outcome, hedge bool) route.Decision {
 	reply := make(chan route.Decision, 1)
 	m := route.Lookup{Request: j.call.Request, Last: last, Hedge: hedge, Tried: j.tried, Reply: reply}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"celeryhook.example/celeryhook/internal/accept"
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
@@ -16,7 +17,7 @@
 // deliver passes a target's answer on unchanged.
 func (r *request) deliver(a *attempt) {
 	h := r.w.Header()
-	for name, values := range passed(a.answer.Header) {
+	for name, values := range accept.EndToEnd(a.answer.Header) {
 		h[name] = values
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -11,6 +11,7 @@
 
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -138,7 +139,7 @@
 			r.note(d)
 			return d, err
 		}
-		pause(r.ctx, waitPoll)
+		duty.Sleep(r.ctx, waitPoll)
 		r.decided.waited += waitPoll
 	}
 }
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"celeryhook.example/celeryhook/internal/duty"
 )
 
 const (
@@ -20,7 +22,7 @@
 // close, and the requests in progress are waited for until the context ends.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
-	pause(ctx, announceTime)
+	duty.Sleep(ctx, announceTime)
 	_ = s.inner.Close()
 	// A connection may have been accepted just before the listener closed, with
 	// its request still to be read when the VM's processor share was used up.
@@ -28,7 +30,7 @@
 		if s.closeIdle() > 0 {
 			quiet = 0
 		}
-		pause(ctx, stopPoll)
+		duty.Sleep(ctx, stopPoll)
 	}
 	return s.server.Close()
 }
@@ -45,12 +47,3 @@
 	}
 	return open
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -44,7 +44,6 @@
 			n.operatorRecord(ctx, r, c)
 		}
 	case replica.Targets:
-		n.targetsAt.Store(int64(c.AsOf))
 		_ = n.keeperRing.Put(ctx, ownership.DirectoryRead{AsOf: c.AsOf})
 		for _, r := range c.Records {
 			n.targetRecord(ctx, r)
@@ -105,14 +104,11 @@
 }
 
 func (n *Process) ownerRecords(ctx context.Context, c replica.Changed) {
-	if len(c.Records) > 0 {
-		if err := n.ledger.Apply(c.Records, c.Next); err != nil {
-			n.metrics.Count("records_refused", "owner")
-			n.log.Error(err, "ledger record refused", "ledger_end", c.Next)
-		}
+	if err := n.ledger.Apply(c.Records, c.Next); err != nil {
+		n.metrics.Count("records_refused", "owner")
+		n.log.Error(err, "ledger record refused", "ledger_end", c.Next)
 	}
 	view := n.ledger.View()
-	view.Next = c.Next
 	n.owners.Store(view)
 	m := ownership.LedgerChanged{View: view, AsOf: c.AsOf, LeadRenewed: len(c.Records) > 0}
 	_ = n.keeperRing.Put(ctx, m)
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -84,12 +84,12 @@
 		}
 	}
 	ctx := n.startDuties()
-	n.run(ctx, n.watchReload)
-	n.run(ctx, func(context.Context) {
+	go n.watchReload(ctx)
+	go func() {
 		if err := n.ingress.Serve(); err != nil {
 			n.log.Error(err, "callers' listener failed")
 		}
-	})
+	}()
 	n.log.Info("gateway started", "vm", n.self.VM, "failure_domain", n.self.FailureDomain, "incarnation", n.self.Incarnation,
 		"callers", n.settings.CallersAddress, "mesh", n.self.Address, "retry_ratio", n.settings.Retry.Ratio, "retry_extra", n.settings.Retry.Extra)
 	return nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -108,7 +108,7 @@
 	if owners == nil || members == nil || len(load.Units) == 0 {
 		return
 	}
-	if n.leading.Load() {
+	if owners.Lead.VM == n.self.VM {
 		_ = n.assignerRing.Put(ctx, load)
 		return
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -12,7 +12,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"celeryhook.example/celeryhook/internal/balance"
-	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ingress"
@@ -67,8 +66,6 @@
 	members   atomic.Pointer[roster.View]
 	targets   atomic.Pointer[discovery.View]
 	membersAt atomic.Int64
-	targetsAt atomic.Int64
-	leading   atomic.Bool
 	ready     atomic.Bool
 	stopping  atomic.Bool
 
@@ -95,7 +92,6 @@
 	servers []*http.Server
 
 	cancel context.CancelFunc
-	wait   sync.WaitGroup
 }
 
 // NewProcess builds a gateway VM that isn't started.
@@ -140,21 +136,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	random := rand.New(rand.NewPCG(uint64(n.self.Incarnation), uint64(len(n.self.VM))))
-	n.run(ctx, duty.New("replica", n.clock, n.replicaRing, replica.New(), n.emitReplica, replica.Message(replica.Tick{}), replicaTick).Run)
-	n.run(ctx, duty.New("discovery", n.clock, n.discoveryRing, discovery.NewDuty(), n.emitDiscovery, discovery.Message(discovery.Tick{}), discoveryTick).Run)
-	n.run(ctx, duty.New("roster", n.clock, n.rosterRing, roster.NewDuty(n.self), n.emitRoster, roster.Message(roster.Tick{}), 0).Run)
-	n.run(ctx, duty.New("balance", n.clock, n.balanceRing, balance.New(n.settings.FailureDomain, n.settings.Retry, random),
-		n.emitBalance, balance.Message(balance.Tick{}), tickInterval).Run)
+	go duty.New("replica", n.clock, n.replicaRing, replica.New(), n.emitReplica, replica.Message(replica.Tick{}), replicaTick).Run(ctx)
+	go duty.New("discovery", n.clock, n.discoveryRing, discovery.NewDuty(), n.emitDiscovery, discovery.Message(discovery.Tick{}), discoveryTick).Run(ctx)
+	go duty.New("roster", n.clock, n.rosterRing, roster.NewDuty(n.self), n.emitRoster, roster.Message(roster.Tick{}), 0).Run(ctx)
+	go duty.New("balance", n.clock, n.balanceRing, balance.New(n.settings.FailureDomain, n.settings.Retry, random),
+		n.emitBalance, balance.Message(balance.Tick{}), tickInterval).Run(ctx)
 	assigner := ownership.NewAssigner(ownership.Lead{VM: n.self.VM, Incarnation: n.self.Incarnation})
-	n.run(ctx, duty.New("assigner", n.clock, n.assignerRing, &leadWatch{assigner, &n.leading}, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run)
-	n.run(ctx, duty.New("keeper", n.clock, n.keeperRing, ownership.NewKeeper(n.clock()), n.emitKeeper, ownership.Message(ownership.Tick{}), tickInterval).Run)
+	go duty.New("assigner", n.clock, n.assignerRing, assigner, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
+	go duty.New("keeper", n.clock, n.keeperRing, ownership.NewKeeper(n.clock()), n.emitKeeper, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	for _, r := range n.readers {
-		n.run(ctx, r.Run)
+		go r.Run(ctx)
 	}
-	n.run(ctx, n.follower.Run)
+	go n.follower.Run(ctx)
 	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
 		for range p.Size() {
-			n.run(ctx, p.Run)
+			go p.Run(ctx)
 		}
 	}
 	n.every(ctx, reportInterval, n.report)
@@ -164,16 +160,8 @@
 	return ctx
 }
 
-func (n *Process) run(ctx context.Context, f func(context.Context)) {
-	n.wait.Add(1)
-	go func() {
-		defer n.wait.Done()
-		f(ctx)
-	}()
-}
-
 func (n *Process) every(ctx context.Context, d time.Duration, f func(context.Context)) {
-	n.run(ctx, func(ctx context.Context) {
+	go func() {
 		t := time.NewTicker(d)
 		defer t.Stop()
 		for {
@@ -184,18 +172,5 @@
 				f(ctx)
 			}
 		}
-	})
-}
-
-// leadWatch shows outside of the duty whether the VM is the assigner.
-type leadWatch struct {
-	*ownership.Assigner
-	leading *atomic.Bool
-}
-
-// Step implements duty.Step.
-func (w *leadWatch) Step(now core.Instant, m ownership.Message) []ownership.Output {
-	out := w.Assigner.Step(now, m)
-	w.leading.Store(w.Leading())
-	return out
+	}()
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/balance"
@@ -71,8 +72,4 @@
 
 // ErrOtherProcess is the error of an order that reached another process than
 // the one it was meant for.
-var ErrOtherProcess = errOtherProcess{}
-
-type errOtherProcess struct{}
-
-func (errOtherProcess) Error() string { return "node: another process answers at the address" }
+var ErrOtherProcess = errors.New("node: another process answers at the address")
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -60,9 +60,6 @@
 	}
 }
 
-// Leading reports whether this VM is the assigner.
-func (a *Assigner) Leading() bool { return a.leading }
-
 // Step implements duty.Step.
 func (a *Assigner) Step(now core.Instant, m Message) []Output {
 	var out []Output
@@ -97,6 +94,7 @@
 }
 
 func (a *Assigner) ledgerChanged(now core.Instant, m LedgerChanged) []Output {
+	changed := m.View.Next != a.ledger.Next
 	a.ledger, a.asOf = m.View, m.AsOf
 	if m.LeadRenewed {
 		a.leadSeen = now
@@ -106,10 +104,16 @@
 	}
 	leads := a.ledger.Lead == a.self
 	if leads == a.leading {
+		if leads && changed {
+			a.syncTasks(now)
+		}
 		return nil
 	}
 	a.leading = leads
 	a.tasks, a.evictions = make(map[TaskID]*task), make(map[Holder]*eviction)
+	if leads {
+		a.syncTasks(now)
+	}
 	text := "assigner role lost"
 	if leads {
 		text = "assigner role taken"
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -173,7 +173,7 @@
 		}
 	case TargetsChanged:
 		k.targets = m.View
-		k.rebuild()
+		k.assign()
 	case MembersChanged:
 		k.members = m.View
 		k.rebuild()
@@ -231,6 +231,14 @@
 			s.rows = append(s.rows, Row{Service: name, From: row.From, To: row.To, Fence: c.Fence})
 		}
 	}
+	k.assign()
+}
+
+// assign finds the targets of which this VM is a keeper.
+func (k *Keeper) assign() {
+	if k.members == nil {
+		return
+	}
 	for id, s := range k.kept {
 		var domain core.FailureDomain
 		if t, ok := k.targets.Targets[id]; ok {
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -55,7 +55,8 @@
 	majorityAt core.Instant
 }
 
-// syncTasks makes a task of each moving row and drops those that are over.
+// syncTasks makes a task of each moving row and drops those that are over. It
+// looks at every unit, so it runs only when the ledger has changed.
 func (a *Assigner) syncTasks(now core.Instant) {
 	live := make(map[TaskID]bool)
 	for s, cells := range a.ledger.Services {
@@ -115,7 +116,6 @@
 }
 
 func (a *Assigner) runTasks(now core.Instant) []Output {
-	a.syncTasks(now)
 	var out []Output
 	for _, e := range a.evictions {
 		if e.silent && now.Sub(e.askedAt) >= retrySettle {
--- a/internal/platformlog/submit.go
+++ b/internal/platformlog/submit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"celeryhook.example/celeryhook/internal/duty"
 )
 
 const (
@@ -30,7 +32,7 @@
 
 func perform(ctx context.Context, log Log, a Action) Result {
 	if read, ok := a.(ReadAction); ok && read.Retry {
-		if !sleep(ctx, submitPause) {
+		if !duty.Sleep(ctx, submitPause) {
 			return TimeOver{}
 		}
 	}
@@ -47,18 +49,6 @@
 	return TimeOver{}
 }
 
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // History reads every record that the log still holds and hands each event to
 // visit, in order. It returns the state at the log's end. Failed reads are
 // repeated until the context ends.
@@ -70,7 +60,7 @@
 		page, err := read(ctx, log, from, int(size))
 		size = size.after(err != nil)
 		if err != nil {
-			if !sleep(ctx, submitPause) {
+			if !duty.Sleep(ctx, submitPause) {
 				return replay.Folded(), err
 			}
 			continue
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -66,7 +66,7 @@
 	var since core.Instant
 	for ctx.Err() == nil {
 		if !f.on.Load() {
-			sleep(ctx, idlePoll)
+			duty.Sleep(ctx, idlePoll)
 			continue
 		}
 		if choice > 0 && found && f.clock().Sub(since) > returnTime {
@@ -74,7 +74,7 @@
 		}
 		peer, count := f.sources(choice)
 		if peer == nil {
-			sleep(ctx, idlePoll)
+			duty.Sleep(ctx, idlePoll)
 			continue
 		}
 		wait := time.Duration(0)
@@ -94,10 +94,10 @@
 			found = false
 			if choice++; choice >= count {
 				choice = 0
-				sleep(ctx, cyclePause)
+				duty.Sleep(ctx, cyclePause)
 			}
 		}
-		sleep(ctx, followPause)
+		duty.Sleep(ctx, followPause)
 	}
 }
 
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -106,13 +106,13 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !r.on.Load() {
-			sleep(ctx, idlePoll)
+			duty.Sleep(ctx, idlePoll)
 			continue
 		}
 		busy, err := r.read(ctx)
 		if err != nil {
 			r.failed(ctx, err)
-			sleep(ctx, r.pause(backoff))
+			duty.Sleep(ctx, r.pause(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -121,7 +121,7 @@
 			r.log.Info("store reachable again", "stream", r.stream.String())
 		}
 		if busy {
-			sleep(ctx, readPause[r.stream])
+			duty.Sleep(ctx, readPause[r.stream])
 		}
 	}
 }
@@ -182,12 +182,3 @@
 	}
 	return len(b.Records) > 0, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -48,13 +48,10 @@
 func (r *Ring[T]) Put(ctx context.Context, v T) error {
 	switch r.rule {
 	case Refuse:
-		select {
-		case r.ch <- v:
-			return nil
-		default:
-			r.dropped.Add(1)
+		if !r.Offer(v) {
 			return fmt.Errorf("%s: %w", r.name, ErrFull)
 		}
+		return nil
 	case DropOldest:
 		for {
 			select {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"celeryhook.example/celeryhook/internal/core"
 )
 
@@ -183,11 +181,11 @@
 func (v *View) sort(k rankKey) []Member {
 	type scored struct {
 		Member
-		score uint64
+		score float64
 	}
 	list := make([]scored, len(v.all))
 	for i, m := range v.all {
-		list[i] = scored{m, xxhash.Sum64String(k.key + "\x00" + string(m.VM))}
+		list[i] = scored{m, core.Rendezvous(k.key, string(m.VM), 1)}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := list[i], list[j]
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -13,6 +13,7 @@
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/ring"
+	"celeryhook.example/celeryhook/standin/respond"
 )
 
 const (
@@ -77,7 +78,7 @@
 	}
 	reply := make(chan Answer, 1)
 	if a, ok := s.serve(w, r, Append{Data: data, Reply: reply}, reply); ok {
-		writeJSON(w, map[string]uint64{"offset": a.Offset})
+		respond.JSON(w, map[string]uint64{"offset": a.Offset})
 	}
 }
 
@@ -90,7 +91,7 @@
 	reply := make(chan Answer, 1)
 	m.Reply = reply
 	if a, ok := s.serve(w, r, m, reply); ok {
-		writeJSON(w, a.Page)
+		respond.JSON(w, a.Page)
 	}
 }
 
@@ -118,7 +119,7 @@
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	reply := make(chan Answer, 1)
 	if a, ok := s.serve(w, r, ListVMs{Reply: reply}, reply); ok {
-		writeJSON(w, append([]platformlog.LiveVM{}, a.VMs...))
+		respond.JSON(w, append([]platformlog.LiveVM{}, a.VMs...))
 	}
 }
 
@@ -137,7 +138,7 @@
 
 func (s *Server) getFaults(w http.ResponseWriter, r *http.Request) {
 	if f, err := s.Faults(r.Context()); err == nil {
-		writeJSON(w, f.json())
+		respond.JSON(w, f.json())
 	}
 }
 
@@ -184,8 +185,3 @@
 		return Answer{}, ctx.Err()
 	}
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -14,6 +14,7 @@
 	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/ring"
 	wire "celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/standin/respond"
 )
 
 const (
@@ -104,13 +105,13 @@
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, answer)
+	respond.JSON(w, answer)
 }
 
 func (s *Server) runs(w http.ResponseWriter, _ *http.Request) {
 	reply := make(chan []Run, 1)
 	if runs, ok := ask(s, ListRuns{Reply: reply}, reply); ok {
-		writeJSON(w, runs)
+		respond.JSON(w, runs)
 	}
 }
 
@@ -127,14 +128,14 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	reply := make(chan Status, 1)
 	if status, ok := ask(s, Report{Reply: reply}, reply); ok {
-		writeJSON(w, status)
+		respond.JSON(w, status)
 	}
 }
 
 func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
 	reply := make(chan Status, 1)
 	if status, ok := ask(s, Inspect{Reply: reply}, reply); ok {
-		writeJSON(w, status)
+		respond.JSON(w, status)
 	}
 }
 
@@ -153,7 +154,7 @@
 		http.Error(w, set.Err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, set.Faults.Values())
+	respond.JSON(w, set.Faults.Values())
 }
 
 func (s *Server) turnCold(w http.ResponseWriter, r *http.Request) {
@@ -188,8 +189,3 @@
 	b.Run.Front = core.VM(r.Header.Get(wire.HeaderFront))
 	return b, nil
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -198,7 +199,7 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Celeryhook-Request-Id")
 	w.Header().Set("Celeryhook-Request-Id", id)
-	body := readAll(r)
+	body, _ := io.ReadAll(r.Body) // a cut body is recorded as far as it came
 	s.mu.Lock()
 	key, _ := strconv.Atoi(r.Header.Get("Celeryhook-Shard-Key"))
 	if s.Sharded && !time.Now().Before(s.until[key]) {
@@ -209,7 +210,7 @@
 	}
 	s.running++
 	f := s.faults
-	s.runs = append(s.runs, Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: body, At: time.Now()})
+	s.runs = append(s.runs, Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body), At: time.Now()})
 	s.mu.Unlock()
 	time.Sleep(f.ServiceTime)
 	s.load(w.Header())
@@ -229,18 +230,6 @@
 	_, _ = w.Write(answer)
 }
 
-func readAll(r *http.Request) string {
-	var b []byte
-	buffer := make([]byte, 4096)
-	for {
-		n, err := r.Body.Read(buffer)
-		b = append(b, buffer[:n]...)
-		if err != nil {
-			return string(b)
-		}
-	}
-}
-
 func hostOf(address string) string {
 	host, _, _ := net.SplitHostPort(address)
 	return host
--- a/standin/wire/store.go
+++ b/standin/wire/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +9,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/standin/platform"
+	"celeryhook.example/celeryhook/standin/respond"
 )
 
 // Store is a log with compacted topics.
@@ -136,13 +136,13 @@
 	offset, ok := s.append(r.URL.Query().Get("topic"), records, at)
 	if !ok {
 		w.WriteHeader(http.StatusPreconditionFailed)
-		writeJSON(w, map[string]int64{"endOffset": offset})
+		respond.JSON(w, map[string]int64{"endOffset": offset})
 		return
 	}
 	if s.loseAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, map[string]int64{"offset": offset, "endOffset": offset + int64(len(records))})
+	respond.JSON(w, map[string]int64{"offset": offset, "endOffset": offset + int64(len(records))})
 }
 
 func (s *Store) loseAnswer() bool {
@@ -172,7 +172,7 @@
 			return
 		case from < first:
 			w.WriteHeader(http.StatusGone)
-			writeJSON(w, map[string]int64{"firstOffset": first})
+			respond.JSON(w, map[string]int64{"firstOffset": first})
 			return
 		case from < int64(len(records)):
 			writeRecords(w, first, records, from)
@@ -227,10 +227,5 @@
 	s.mu.Unlock()
 	items := sorted(state, q.Get("after"))
 	more := len(items) > pageSize
-	writeJSON(w, map[string]any{"items": items[:min(len(items), pageSize)], "hasMore": more, "endOffset": end})
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	respond.JSON(w, map[string]any{"items": items[:min(len(items), pageSize)], "hasMore": more, "endOffset": end})
 }
