soak: gateway VMs as processes under seeded faults

A command and a test that run gateway processes against the stand-ins, disturb them through loopback proxies, signals and fault switches by a seeded schedule, and check from callers and targets: one owner, rising tokens, at most one run, true refusals, whole own answers, planned stops, configurations in force and never back, cold limits, draining, evacuation, recovery.

The stand-in server reports its runs and grants to an observer, answers a release once its work on the keys has ended, and can be cold and advertise a proxy.

--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+// Options describe a run.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	Size   Size
+	// Program is the path of the celeryhook binary under test.
+	Program string
+	// Dir takes settings and logs. It must exist.
+	Dir string
+	// Slack multiplies the bounds in time; 1 takes them as they are.
+	Slack int
+}
+
+// Report is the result of a run.
+type Report struct {
+	Options
+	Events     []Event
+	Counts     map[string]int
+	Violations []Violation
+}
+
+const compareInterval = 100 * time.Millisecond
+
+// Run plays the schedule of a seed and reports what it found. The error says
+// that the deployment could not be started.
+func Run(ctx context.Context, o Options) (Report, error) {
+	r := Report{Options: o, Events: NewPlan(o.Seed, o.Length, o.Size)}
+	h := &history{}
+	check := newChecker(h, max(o.Slack, 1))
+	c, err := startCluster(o.Program, o.Dir, o.Size, check)
+	defer c.close()
+	if err != nil {
+		return r, err
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go h.watchStalls(done)
+	go check.watchOwners(done)
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+	callers := c.callers(calling, o.Seed)
+	c.play(ctx, r.Events)
+	c.heal()
+	if ctx.Err() == nil {
+		c.checkRecovery()
+	}
+	stop()
+	callers.Wait()
+	r.Counts, r.Violations = check.summary()
+	return r, nil
+}
+
+func (c *checker) watchOwners(done <-chan struct{}) {
+	t := time.NewTicker(compareInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-t.C:
+			c.compareOwners(now)
+		}
+	}
+}
+
+// checkRecovery asserts that each VM serves each kind of request after the last
+// fault.
+func (c *cluster) checkRecovery() {
+	from := time.Now()
+	missing := []string{}
+	if eventually(func() bool { missing = c.check.unserved(c.vms, from); return len(missing) == 0 }) {
+		return
+	}
+	c.check.report(Recovery, "not served within %v: %v", progressTime, missing)
+}
+
+var kinds = []string{"/read/", "/book/", "/seat/", "/hold/"}
+
+// unserved returns the kinds of requests that no VM's caller got an answer to,
+// of those sent after a time.
+func (c *checker) unserved(vms []*gateway, from time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := make(map[string]bool)
+	for _, r := range c.requests {
+		if r.served && r.sent.After(from) {
+			served[r.vm.name+r.uri[:6]] = true
+		}
+	}
+	var out []string
+	for _, g := range vms {
+		for _, k := range kinds {
+			if !served[g.name+k] {
+				out = append(out, g.name+" "+k)
+			}
+		}
+	}
+	return out
+}
+
+// Write prints a report. Logs of the processes stay in the run's folder.
+func (r Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "seed %d, %v, %d VMs, %d targets, logs in %s\n", r.Seed, r.Length, r.Size.VMs, r.Size.Targets, r.Dir)
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "  event %v\n", e)
+	}
+	names := make([]string, 0, len(r.Counts))
+	for n := range r.Counts {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		fmt.Fprintf(w, "  %-12s %d\n", n, r.Counts[n])
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  BROKEN %v\n", v)
+	}
+	fmt.Fprintf(w, "seed %d: %d promises broken\n", r.Seed, len(r.Violations))
+}
+
+// NewDir makes a folder for a seed's files.
+func NewDir(parent string, seed uint64) (string, error) {
+	dir := filepath.Join(parent, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	return dir, nil
+}
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -27,12 +28,30 @@
 	Slots   int
 	// Sharded servers run requests only for keys that they hold.
 	Sharded bool
+	// Cold is how long the server says that it is cold after its start.
+	Cold time.Duration
+	// Listen is the address to listen on; empty lets the kernel pick one.
+	// Advertise is the address in the registration; empty is where it listens.
+	Listen, Advertise string
+	// Observer may be nil.
+	Observer Observer
+}
+
+// Observer sees what servers do at the moment at which they do it. Its methods
+// are called from many goroutines.
+type Observer interface {
+	// Began is called before a server works on a request.
+	Began(*Server, Run)
+	// Granted is called after a server took keys.
+	Granted(s *Server, from, to int, fence int64)
 }
 
 // Run is a request that a server began to work on.
 type Run struct {
 	Server, ID, Method, URI, Body string
-	At                            time.Time
+	// Key is -1 if the server isn't divided by key.
+	Key int
+	At  time.Time
 }
 
 // Server is a back end that registers itself in the store.
@@ -49,18 +68,24 @@
 	sequence int
 	fence    [keys]int64
 	until    [keys]time.Time
-	runs     []Run
-	orders   int
+	// active counts the requests in progress for each key.
+	active  map[int]int
+	runs    []Run
+	orders  int
+	stopped bool
 }
 
 // StartServer starts a server on a loopback port that the kernel picks, and
 // registers it.
 func StartServer(store *Store, o ServerOptions) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", cmp.Or(o.Listen, "127.0.0.1:0"))
 	if err != nil {
 		return nil, fmt.Errorf("wire: %w", err)
 	}
-	s := &Server{ServerOptions: o, store: store, address: l.Addr().String(), born: time.Now().UnixMilli()}
+	s := &Server{
+		ServerOptions: o, store: store, address: l.Addr().String(), born: time.Now().UnixMilli(), active: make(map[int]int),
+	}
+	s.Advertise = cmp.Or(o.Advertise, s.address)
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	s.Register("ready")
@@ -72,9 +97,9 @@
 	s.mu.Lock()
 	s.sequence++
 	entry, err := json.Marshal(map[string]any{
-		"address": s.address, "born": s.born,
+		"address": s.Advertise, "born": s.born,
 		"info":   map[string]any{"service": s.Service, "version": "v1", "zone": s.Zone, "slots": s.Slots},
-		"status": map[string]any{"state": state, "sequence": s.sequence, "coldLeft": "0ms"},
+		"status": map[string]any{"state": state, "sequence": s.sequence, "coldLeft": fmt.Sprintf("%dms", s.ColdLeft().Milliseconds())},
 	})
 	s.mu.Unlock()
 	if err == nil {
@@ -86,7 +111,24 @@
 func (s *Server) Remove() { s.store.Put("keyed.servers", s.ID, nil) }
 
 // Stop ends the server at once.
-func (s *Server) Stop() { _ = s.server.Close() }
+func (s *Server) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	_ = s.server.Close()
+}
+
+// Stopped reports whether the server was stopped.
+func (s *Server) Stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
+// ColdLeft returns how much longer the server is cold.
+func (s *Server) ColdLeft() time.Duration {
+	return max(0, time.Until(time.UnixMilli(s.born).Add(s.Cold)))
+}
 
 // SetFaults changes how the server misbehaves. Of the switches, ServiceTime,
 // Drop, Cut, Duplicate and DropOrders have an effect.
@@ -96,7 +138,8 @@
 	s.faults = f
 }
 
-// Runs returns the requests that the server began to work on.
+// Runs returns the requests that the server began to work on. A server with an
+// observer keeps none.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,6 +180,9 @@
 		s.serveOrder(w, r, s.release)
 	case r.URL.Path == "/health":
 		w.Header().Set("Celeryhook-Instance-Id", s.ID)
+		if left := s.ColdLeft(); left > 0 {
+			w.Header().Set("Celeryhook-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		s.load(w.Header())
 	default:
 		s.serveRequest(w, r)
@@ -161,6 +207,16 @@
 	status := carryOut(o)
 	lost := rand.Float64() < s.faults.DropOrders
 	s.mu.Unlock()
+	switch r.URL.Path {
+	case "/api/grant":
+		if s.Observer != nil && status == http.StatusOK {
+			s.Observer.Granted(s, o.From, o.To, o.Fence)
+		}
+	case "/api/release":
+		for s.working(o.From, o.To) {
+			time.Sleep(time.Millisecond)
+		}
+	}
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
@@ -183,6 +239,23 @@
 	return http.StatusOK
 }
 
+// Grant sends a server an order for a range of keys, as a VM does.
+func Grant(address string, from, to int, fence int64, hold time.Duration) error {
+	b, err := json.Marshal(keyOrder{From: from, To: to, Fence: fence, HoldTime: fmt.Sprintf("%dms", hold.Milliseconds())})
+	if err != nil {
+		return fmt.Errorf("wire: grant: %w", err)
+	}
+	res, err := http.Post("http://"+address+"/api/grant", "application/json", bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("wire: grant: %w", err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("wire: grant: status %d", res.StatusCode)
+	}
+	return nil
+}
+
 func (s *Server) release(o keyOrder) int {
 	for k := o.From; k <= o.To; k++ {
 		s.fence[k], s.until[k] = max(s.fence[k], o.Fence), time.Time{}
@@ -190,6 +263,18 @@
 	return http.StatusOK
 }
 
+// working reports whether a request for one of the keys is in progress.
+func (s *Server) working(from, to int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.active {
+		if k >= from && k <= to {
+			return !s.stopped
+		}
+	}
+	return false
+}
+
 func (s *Server) load(h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,21 +286,37 @@
 	w.Header().Set("Celeryhook-Request-Id", id)
 	body, _ := io.ReadAll(r.Body) // a cut body is recorded as far as it came
 	s.mu.Lock()
-	key, _ := strconv.Atoi(r.Header.Get("Celeryhook-Shard-Key"))
-	if s.Sharded && !time.Now().Before(s.until[key]) {
-		s.mu.Unlock()
-		w.Header().Set("Celeryhook-Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+	key := -1
+	if s.Sharded {
+		var err error
+		key, err = strconv.Atoi(r.Header.Get("Celeryhook-Shard-Key"))
+		if err != nil || key < 0 || key >= keys || !time.Now().Before(s.until[key]) {
+			s.mu.Unlock()
+			w.Header().Set("Celeryhook-Not-Executed", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.active[key]++
 	}
 	s.running++
 	f := s.faults
-	s.runs = append(s.runs, Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body), At: time.Now()})
+	run := Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body), Key: key, At: time.Now()}
+	if s.Observer == nil {
+		s.runs = append(s.runs, run)
+	}
 	s.mu.Unlock()
+	if s.Observer != nil {
+		s.Observer.Began(s, run)
+	}
 	time.Sleep(f.ServiceTime)
 	s.load(w.Header())
 	s.mu.Lock()
 	s.running--
+	if key >= 0 {
+		if s.active[key]--; s.active[key] == 0 {
+			delete(s.active, key)
+		}
+	}
 	s.mu.Unlock()
 	answer := []byte("answer of " + s.ID + " to " + id)
 	w.Header().Set("Celeryhook-Server-Stamp", s.ID+"."+id)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -32,7 +32,7 @@
 fi
 # Tests with real processes and leases run alone: with every core taken by other
 # tests, leases end before they can be renewed.
-alone='/(scenario|internal/demo|internal/app|internal/node)$'
+alone='/(scenario|soak|internal/demo|internal/app|internal/node)$'
 echo "== go test -race"
 go list ./... | grep -Ev "$alone" | xargs go test -race -timeout 20m "${skip[@]}"
 echo "== go test -race, one package at a time"
