--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -16,6 +16,11 @@
 	// reportHalfLife is the time in which a report of other VMs' requests loses
 	// half of its weight: about the duration of a request.
 	reportHalfLife = 250 * time.Millisecond
+	// usualHalfLife is the time in which the usual number of other VMs' requests
+	// loses half of its weight, so that a target that looks full is tried again.
+	usualHalfLife = 2 * time.Second
+	// usualShare is the weight of a new report in the usual number, as 1/n.
+	usualShare = 8
 	// slowdownHalfLife is the same for the slowdown by neighbours, which lasts
 	// some 400 ms.
 	slowdownHalfLife = 200 * time.Millisecond
@@ -41,9 +46,12 @@
 	// serviceTime is the time of a request without queueing or slowdown.
 	serviceTime time.Duration
 	report      *LoadReport
-	// reportMine is how many of the reported requests were this VM's.
-	reportMine int
+	// reportOthers is how many of the reported requests were other VMs'.
+	reportOthers float64
 	reportAt   core.Instant
+	// usual is the mean number of other VMs' requests over many reports. It
+	// stands in for a report that is old, as most are in a large deployment.
+	usual float64
 	failures   float64
 	inARow     int
 	ejected    core.Instant
@@ -64,12 +72,12 @@
 
 // occupancy estimates how many requests are at the target.
 func (t *target) occupancy(now core.Instant) float64 {
-	others := 0.0
-	if t.report != nil {
-		total := t.report.Running + t.report.Waiting
-		others = max(0, float64(total-t.reportMine)) * decay(now.Sub(t.reportAt), reportHalfLife)
+	if t.report == nil {
+		return float64(t.mine)
 	}
-	return float64(t.mine) + others
+	age := now.Sub(t.reportAt)
+	fresh := decay(age, reportHalfLife)
+	return float64(t.mine) + fresh*t.reportOthers + (1-fresh)*decay(age, usualHalfLife)*t.usual
 }
 
 func (t *target) slowdown(now core.Instant) float64 {
@@ -125,7 +133,14 @@
 	if r == nil {
 		return
 	}
-	t.report, t.reportMine, t.reportAt = r, t.mine, now
+	first := t.report == nil
+	t.report, t.reportAt = r, now
+	t.reportOthers = max(0, float64(r.Running+r.Waiting-t.mine))
+	if first {
+		t.usual = t.reportOthers
+		return
+	}
+	t.usual += (t.reportOthers - t.usual) / usualShare
 }
 
 // measure updates the service time by an answer.
