replica: a starting VM reads the store itself for 0.3 s, not 2 s

Ruled out: readers that go on beside an elected one (the log shows all of them off a second later). TestStartReadsBriefly failed before.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -59,6 +59,18 @@
 	return found, ok
 }
 
+// Guards against VMs that all go on reading the store for long after they have
+// started together.
+func TestStartReadsBriefly(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Step(start, Tick{})
+	fresh(r, start, fromStore)
+	r.Step(start, Elected{Reader: false})
+	reading, ok := last[Reading](r.Step(start.Add(startTime+time.Millisecond), Tick{}))
+	is.True(ok && !reading.On)
+}
+
 // Guards against all VMs reading the store: one that is not elected only
 // follows, and reads itself only after all others had nothing new for long.
 func TestOnlyElectedReadersRead(t *testing.T) {
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -20,6 +20,10 @@
 	// directTime is how long a VM that lost its source reads the store itself
 	// before it tries to follow again.
 	directTime = 2 * time.Second
+	// startTime is how long a VM reads the store itself after its start, beyond
+	// its first copy: until it has found a VM to follow. All VMs may start at the
+	// same time, and calls are charged.
+	startTime = 300 * time.Millisecond
 )
 
 // Message is an input of the replica.
@@ -187,7 +191,10 @@
 func (r *Replica) source(now core.Instant) []Output {
 	age := r.age(now)
 	stale := age >= staleAge
-	if age >= directAge || !r.started {
+	switch {
+	case !r.started:
+		r.direct = now.Add(startTime)
+	case age >= directAge:
 		r.direct = now.Add(directTime)
 	}
 	r.started = r.started || age < staleAge
