ownership, balance: leaving owners' keys move in parts; large services are shared out

Now a third moves at a time; an evacuated owner serves for 2.2 s after the word (the bound is 5 s), a draining one for 1.2 s as before.

Cause 2: each of 61 VMs used each of 67 targets, with load reports that were seconds old. A VM now uses about 12 targets of a service, each target the same number of VMs, and goes to others when its own can't take the request. Small services are used whole.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -20,9 +20,10 @@
 	// sampled is how many targets a decision compares. Comparing all of a large
 	// service would send all VMs to the same one.
 	sampled = 5
-	// leavingTime is for how long the owner of a key still gets requests after
-	// it has begun to leave, while its keys move.
-	leavingTime = 1200 * time.Millisecond
+	// subset is how many targets of a service a VM uses on average while they
+	// can take its requests. In a large deployment, connections from each VM to
+	// each target cost much and their load reports are old when they are used.
+	subset = 12
 	// connectionPart is the part of a target's connections that the VMs keep
 	// open together; the rest is for connections that overlap a replacement.
 	connectionPart = 0.7
@@ -190,10 +191,45 @@
 	if s.DividedByKey {
 		return b.owner(now, a)
 	}
-	var best *target
+	mine, rest := b.divide(b.view.ByService[a.Service])
+	t, full := b.cheapest(now, a, s, mine)
+	if t == nil {
+		var alsoFull *target
+		if t, alsoFull = b.cheapest(now, a, s, rest); full == nil {
+			full = alsoFull
+		}
+	}
+	switch {
+	case t != nil:
+		return t, Decision{}
+	case full != nil:
+		return nil, Decision{Verdict: Refuse, Target: Target{ID: full.ID}, Reason: "full", RetryAfter: b.retryAfter(now, full), Occupancy: full.occupancy(now)}
+	}
+	return nil, Decision{Verdict: Refuse, Reason: "no-target", RetryAfter: absentRetryAfter}
+}
+
+// divide returns the targets that this VM uses, and those that it leaves to
+// others while its own can take its requests.
+func (b *Balancer) divide(list []*discovery.Target) (mine, rest []*discovery.Target) {
+	if len(list) <= subset {
+		return list, nil
+	}
+	// Each target is used by the same number of VMs.
+	users := (subset*b.size() + len(list) - 1) / len(list)
+	for _, d := range list {
+		if t := b.targets[d.ID]; t != nil && t.rank < users {
+			mine = append(mine, d)
+		} else {
+			rest = append(rest, d)
+		}
+	}
+	return mine, rest
+}
+
+// cheapest compares some of the targets. It returns the one with the lowest
+// cost, or one that is full if there is no other.
+func (b *Balancer) cheapest(now core.Instant, a Ask, s routing.Service, list []*discovery.Target) (best, full *target) {
 	var bestCost time.Duration
-	var full *target
-	list := b.view.ByService[a.Service]
 	standard := b.standardTime(a.Service)
 	seen := 0
 	for _, i := range b.order(list) {
@@ -215,13 +251,7 @@
 			break
 		}
 	}
-	switch {
-	case best != nil:
-		return best, Decision{}
-	case full != nil:
-		return nil, Decision{Verdict: Refuse, Target: Target{ID: full.ID}, Reason: "full", RetryAfter: b.retryAfter(now, full), Occupancy: full.occupancy(now)}
-	}
-	return nil, Decision{Verdict: Refuse, Reason: "no-target", RetryAfter: absentRetryAfter}
+	return best, full
 }
 
 // order returns a random order of the targets, those of the VM's own failure
@@ -269,7 +299,7 @@
 		return nil, Decision{Verdict: Wait, Target: Target{ID: cell.Owner.Target}, Reason: "owner-lost", RetryAfter: absentRetryAfter}
 	case t.unreachable || t.ended:
 		return nil, Decision{Verdict: Wait, Target: Target{ID: t.ID}, Reason: "owner-unreachable", RetryAfter: absentRetryAfter}
-	case !t.Usable() && now.Sub(t.LeavingSince) > leavingTime:
+	case !t.Serves(now):
 		return nil, Decision{Verdict: Wait, Target: Target{ID: t.ID}, Reason: "owner-leaving", RetryAfter: absentRetryAfter}
 	case b.full(now, t, a.Priority):
 		return nil, Decision{Verdict: Refuse, Target: Target{ID: t.ID}, Reason: "full", RetryAfter: b.retryAfter(now, t), Occupancy: t.occupancy(now)}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -48,14 +48,14 @@
 	report      *LoadReport
 	// reportOthers is how many of the reported requests were other VMs'.
 	reportOthers float64
-	reportAt   core.Instant
+	reportAt     core.Instant
 	// usual is the mean number of other VMs' requests over many reports. It
 	// stands in for a report that is old, as most are in a large deployment.
-	usual float64
-	failures   float64
-	inARow     int
-	ejected    core.Instant
-	ejectFor   time.Duration
+	usual    float64
+	failures float64
+	inARow   int
+	ejected  core.Instant
+	ejectFor time.Duration
 	// unreachable is set from a failed connection until a probe succeeds.
 	unreachable bool
 	// ended is set once another process answers at the address.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -114,3 +114,19 @@
 	r.Cold(start.Add(time.Second), "a", 2*time.Second)
 	is.Equal(r.View().Targets["a"].ColdUntil, start.Add(3*time.Second))
 }
+
+// Guards against an owner that gets requests for its keys until the bounds of
+// draining and evacuation are over, and against one that gets none while its
+// keys move.
+func TestLeavingOwnersServeForAWhile(t *testing.T) {
+	is := is.New(t)
+	is.True((&Target{}).Serves(start))
+	draining := &Target{Entry: Entry{Draining: true}, LeavingSince: start}
+	is.True(draining.Serves(start.Add(drainingTime)))
+	is.True(!draining.Serves(start.Add(drainingTime + time.Millisecond)))
+	evacuated := &Target{Evacuated: true, LeavingSince: start}
+	is.True(evacuated.Serves(start.Add(evacuatingTime)))
+	is.True(!evacuated.Serves(start.Add(evacuatingTime + time.Millisecond)))
+	both := &Target{Entry: Entry{Draining: true}, Evacuated: true, LeavingSince: start}
+	is.True(!both.Serves(start.Add(drainingTime + time.Millisecond)))
+}
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -60,6 +60,28 @@
 // Usable reports whether new requests may be sent.
 func (t *Target) Usable() bool { return !t.Draining && !t.Evacuated }
 
+const (
+	// drainingTime is for how long the owner of a key still gets requests after
+	// it was seen to drain, while its keys move: the platform's bounds of 2 s and
+	// more count from the store's word, which arrives up to 0.8 s later.
+	drainingTime = 1200 * time.Millisecond
+	// evacuatingTime is the same for an evacuated failure domain, for which the
+	// bound is 5 s.
+	evacuatingTime = 2200 * time.Millisecond
+)
+
+// Serves reports whether requests for keys that the target owns may be sent:
+// it is usable, or has begun to leave a short time ago.
+func (t *Target) Serves(now core.Instant) bool {
+	switch {
+	case t.Usable():
+		return true
+	case t.Draining:
+		return now.Sub(t.LeavingSince) <= drainingTime
+	}
+	return now.Sub(t.LeavingSince) <= evacuatingTime
+}
+
 // View is an immutable picture of the targets.
 type View struct {
 	Targets   map[core.Target]*Target
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -302,3 +302,32 @@
 	is.Equal(len(c.table), 2)
 	is.Equal(c.At(0).Fence, int64(maxTable))
 }
+
+// Guards against all keys of a leaving owner that wait at once, while it could
+// still serve most of them; a lost owner's keys all move.
+func TestKeysOfLeavingOwnersMoveInParts(t *testing.T) {
+	is := is.New(t)
+	old, next := Holder{Target: "a", Born: 1, Address: "a"}, Holder{Target: "b", Born: 1, Address: "b"}
+	for _, c := range []struct {
+		serves bool
+		moving int
+		want   int
+	}{
+		{serves: true, want: Units / paceParts},
+		{serves: true, moving: Units / paceParts, want: 0},
+		{serves: true, moving: Units / paceParts / 2, want: Units/paceParts - Units/paceParts/2},
+		{serves: false, want: Units},
+	} {
+		cells := NewCells()
+		for u := range Units {
+			cells.Set(u, Cell{Owner: old, Fence: 1})
+		}
+		for u := range c.moving {
+			cells.Set(u, Cell{Owner: next, Fence: 2, Previous: old})
+		}
+		to := &seat{holder: next, capacity: 100}
+		b := &balance{service: service, cells: cells, loads: &[Units]float64{}, targets: []*seat{to}, byID: map[core.Target]*seat{"b": to}}
+		got := len(b.repair(func(h Holder) bool { return c.serves && h == old }))
+		is.True(got >= c.want && got < c.want+firstRow) // rows move as a whole
+	}
+}
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -33,6 +33,11 @@
 	// rowShare bounds the load of a row that is moved as a whole, as a part of a
 	// fair share.
 	rowShare = 0.15
+	// Of the units of owners that leave but still serve, one in paceParts moves at
+	// a time, and leastPace at least. A move takes about 0.4 s, and owners that
+	// drain serve for 1.2 s after that is known.
+	paceParts = 3
+	leastPace = 128
 	// coldWeight is the part of its capacity that counts of a cold target.
 	coldWeight = 0.15
 )
@@ -65,7 +70,9 @@
 			continue
 		}
 		if a.anyLost(now, name) {
-			return a.newBalance(now, name).repair(), "owner leaving or lost"
+			if c := a.newBalance(now, name).repair(a.serving(now)); len(c) > 0 {
+				return c, "owner leaving or lost"
+			}
 		}
 	}
 	if now.Sub(a.balanced) < balanceInterval {
@@ -113,6 +120,19 @@
 	return false
 }
 
+// serving returns whether a holder that leaves still serves its keys, so that
+// they need not move all at once.
+func (a *Assigner) serving(now core.Instant) func(Holder) bool {
+	return func(h Holder) bool {
+		t := a.targets.Targets[h.Target]
+		if t == nil || t.Born != h.Born || t.Usable() {
+			return false
+		}
+		lost, ok := a.unreachable[h.Target]
+		return t.Serves(now) && (!ok || now.Sub(lost) > unreachableTime)
+	}
+}
+
 func (a *Assigner) readyToDivide(now core.Instant, s core.Service) bool {
 	if now.Sub(a.firstSeen[s]) >= maxFirstWait {
 		return true
@@ -251,15 +271,31 @@
 
 // repair moves every unit whose owner can't keep it, in rows of neighbours with
 // the same owner, as far as a row's load is no burden. Units that are moving
-// already wait for their move.
-func (b *balance) repair() []change {
+// already wait for their move. Of the units whose owner still serves them, only
+// a part moves at a time, as requests for a moving unit wait.
+func (b *balance) repair(serving func(Holder) bool) []change {
 	var out []change
+	moving, served := 0, 0
+	for row := range b.cells.Rows() {
+		switch n := row.To - row.From + 1; {
+		case row.Cell.Moving():
+			moving += n
+		case b.owner(row.Cell) == nil && serving(row.Cell.Owner):
+			served += n
+		}
+	}
+	pace := max(leastPace, (moving+served)/paceParts) - moving
 	for row := range b.cells.Rows() {
 		c := row.Cell
 		if c.Moving() || b.owner(c) != nil {
 			continue
 		}
+		paced := serving(c.Owner)
 		for u := row.From; u <= row.To; {
+			if paced && pace <= 0 {
+				break
+			}
+			before := len(out)
 			to := b.least()
 			most := rowShare * b.meanBusy() * to.capacity
 			var load float64
@@ -271,6 +307,9 @@
 				n.cell.Previous = c.Owner
 				out = append(out, n)
 			}
+			if paced {
+				pace -= len(out) - before
+			}
 		}
 	}
 	return out
