--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -32,8 +32,9 @@
 	// stateRing holds changes of state, which come a few hundred at a time when
 	// a copy is read whole.
 	stateRing = 4096
-	// orderWorkers carry out orders to targets at the same time.
-	orderWorkers = 24
+	// orderWorkers carry out orders to targets at the same time. A release is
+	// answered once the work on its keys has ended, so most of them wait.
+	orderWorkers = 96
 	// probeWorkers and peerWorkers do the same for health checks and for calls
 	// to other VMs.
 	probeWorkers = 4
