node: young targets are verified too; appends through other VMs; reports of unreachable targets

Likely cause, by reasoning: a process that started less than 3 s (6 s in the gateway) before was never taken for restarted, so a second restart within that time went unnoticed by a VM with an old ledger. The check now compares the cold time with the process's own registration.

Appends go through readers of other failure domains then; the condition keeps them from taking effect twice. Cause 3: an assigner of 61 VMs calls each target every 3 s on average and learns late that one is gone. VMs report targets that they can't reach; reports from two failure domains count. TestAppendThroughAnotherVM, TestReportsOfUnreachableTargets.

--- a/internal/balance/survey.go
+++ b/internal/balance/survey.go
@@ -33,9 +33,15 @@
 		clear(units)
 	}
 	for id, t := range b.targets {
-		if t.serviceTime > 0 && b.services[t.Service].DividedByKey {
+		if !b.services[t.Service].DividedByKey {
+			continue
+		}
+		if t.serviceTime > 0 {
 			load.ServiceTime[id] = t.serviceTime
 		}
+		if t.unreachable || t.ended {
+			load.Unreachable = append(load.Unreachable, id)
+		}
 	}
 	return load
 }
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -40,6 +40,9 @@
 	Entry
 	// ColdUntil is the end of the cold start; the zero value means warm.
 	ColdUntil core.Instant
+	// RegisteredCold is the end of the cold start by the registrations of this
+	// process alone.
+	RegisteredCold core.Instant
 	// Evacuated is set while operators keep the failure domain empty.
 	Evacuated bool
 	// LeavingSince is when the target was first seen to drain or to be
@@ -138,10 +141,12 @@
 	t := &Target{Entry: e, Evacuated: r.evacuated[e.FailureDomain]}
 	if e.ColdFor > 0 {
 		t.ColdUntil = now.Add(e.ColdFor)
+		t.RegisteredCold = t.ColdUntil
 	}
 	var since core.Instant
 	if old, ok := r.targets[e.ID]; ok && old.Born == e.Born {
 		t.ColdUntil = max(t.ColdUntil, old.ColdUntil)
+		t.RegisteredCold = max(t.RegisteredCold, old.RegisteredCold)
 		since = old.LeavingSince
 	}
 	t.noteLeaving(now, since)
--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -87,12 +87,32 @@
 	for t, d := range l.ServiceTime {
 		req.Targets = append(req.Targets, &meshpb.TargetSpeed{Target: string(t), ServiceMs: float32(d) / float32(time.Millisecond)})
 	}
+	for _, t := range l.Unreachable {
+		req.Unreachable = append(req.Unreachable, string(t))
+	}
 	if _, err := c.to(to).Report(ctx, req); err != nil {
 		return fmt.Errorf("mesh: report to %s: %w", to.VM, err)
 	}
 	return nil
 }
 
+// Append appends to a stream through another VM. The error wraps
+// replica.ErrConflict if the stream ended elsewhere.
+func (p *Peer) Append(ctx context.Context, s replica.Stream, at int64, records []replica.Record) (int64, error) {
+	req := &meshpb.AppendRequest{Stream: uint32(s), At: at}
+	for _, r := range records {
+		req.Records = append(req.Records, &meshpb.Record{Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+	}
+	reply, err := p.client.to(p.member).Append(ctx, req)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("mesh: append through %s: %w", p.member.VM, err)
+	case reply.Conflict:
+		return 0, fmt.Errorf("mesh: append through %s: %w", p.member.VM, replica.ErrConflict)
+	}
+	return reply.Offset, nil
+}
+
 // Settle asks a member until when a target may hold what it renewed.
 func (c *Client) Settle(ctx context.Context, to roster.Member, t core.Target, offset int64) (ownership.QueryReply, error) {
 	reply, err := c.to(to).Settle(ctx, &meshpb.SettleRequest{Target: string(t), Offset: offset})
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -23,11 +24,13 @@
 	replica  *ring.Ring[replica.Message]
 	assigner *ring.Ring[ownership.Message]
 	keeper   *ring.Ring[ownership.Message]
+	store    replica.Store
 }
 
-// NewServer returns a server that passes calls to the duties.
-func NewServer(clock duty.Clock, r *ring.Ring[replica.Message], assigner, keeper *ring.Ring[ownership.Message]) *Server {
-	return &Server{clock: clock, replica: r, assigner: assigner, keeper: keeper}
+// NewServer returns a server that passes calls to the duties, and appends to the
+// store.
+func NewServer(clock duty.Clock, r *ring.Ring[replica.Message], assigner, keeper *ring.Ring[ownership.Message], store replica.Store) *Server {
+	return &Server{clock: clock, replica: r, assigner: assigner, keeper: keeper, store: store}
 }
 
 // Sync implements meshpb.Mesh.
@@ -82,6 +85,9 @@
 	for _, t := range req.Targets {
 		load.ServiceTime[core.Target(t.Target)] = time.Duration(t.ServiceMs * float32(time.Millisecond))
 	}
+	for _, t := range req.Unreachable {
+		load.Unreachable = append(load.Unreachable, core.Target(t))
+	}
 	if err := s.assigner.Wait(ctx, load); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -101,3 +107,22 @@
 		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
 	}
 }
+
+// Append implements meshpb.Mesh.
+func (s *Server) Append(ctx context.Context, req *meshpb.AppendRequest) (*meshpb.AppendReply, error) {
+	if req.Stream >= uint32(replica.NumStreams) {
+		return nil, twirp.InvalidArgumentError("stream", "unknown stream")
+	}
+	records := make([]replica.Record, 0, len(req.Records))
+	for _, r := range req.Records {
+		records = append(records, replica.Record{Key: r.Key, Value: r.Value, Deleted: r.Deleted})
+	}
+	offset, err := s.store.Append(ctx, replica.Stream(req.Stream), req.At, records)
+	switch {
+	case errors.Is(err, replica.ErrConflict):
+		return &meshpb.AppendReply{Conflict: true}, nil
+	case err != nil:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &meshpb.AppendReply{Offset: offset}, nil
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -107,26 +107,25 @@
 	}
 }
 
-// youngMargin is added to a service's cold time for targets whose own start is
-// the reason that they are cold. It covers wrong clocks.
-const youngMargin = 3 * time.Second
+// registeredMargin is how much longer than by its registration a target may be
+// cold without having been started again. It covers rounding and the way of the
+// health check; registrations arrive late, which makes their cold time longer.
+const registeredMargin = 250 * time.Millisecond
 
 // verifiedTime is for how long a health check speaks for a target's process. It
 // is shorter than any restart.
 const verifiedTime = 200 * time.Millisecond
 
-// restarted reports whether a target is cold although the known process started
-// long ago.
+// restarted reports whether a target is cold for longer than the known process
+// has registered.
 func (n *Process) restarted(ctx context.Context, h ownership.Holder) (bool, error) {
 	table := n.routes.Table()
 	targets := n.targets.Load()
 	if table == nil || targets == nil || targets.Targets[h.Target] == nil {
 		return false, nil // the directory has nothing to ask with; renewing is all that can be done
 	}
-	service, _ := table.Service(targets.Targets[h.Target].Service)
-	if time.Since(time.UnixMilli(h.Born)) < service.ColdStart+youngMargin {
-		return false, nil
-	}
+	known := targets.Targets[h.Target]
+	service, _ := table.Service(known.Service)
 	if at, ok := n.verified.Load(h); ok && n.clock().Sub(at.(core.Instant)) < verifiedTime {
 		return false, nil
 	}
@@ -138,7 +137,8 @@
 	if err != nil {
 		return false, err
 	}
-	if n.platform.Dialect().Cold(a.Header) > 0 {
+	cold := n.platform.Dialect().Cold(a.Header)
+	if cold > 0 && n.clock().Add(cold).Sub(known.RegisteredCold) > registeredMargin {
 		return true, nil
 	}
 	n.verified.Store(h, asked)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -26,6 +27,36 @@
 // source returns the n-th VM to follow and how many there are. A VM that knows
 // no others yet, as after a start while the store is down, asks its seeds.
 func (n *Process) source(i int) (replica.Peer, int) {
+	sources := n.sources()
+	if len(sources) == 0 {
+		return nil, 0
+	}
+	return n.mesh.Peer(sources[i%len(sources)]), len(sources)
+}
+
+// carrier returns the n-th VM that may append for this one and how many there
+// are: the readers of the other failure domains first.
+func (n *Process) carrier(i int) (*mesh.Peer, int) {
+	var list []roster.Member
+	sources := n.sources()
+	for _, m := range sources {
+		if m.FailureDomain != n.self.FailureDomain {
+			list = append(list, m)
+		}
+	}
+	for _, m := range sources {
+		if m.FailureDomain == n.self.FailureDomain {
+			list = append(list, m)
+		}
+	}
+	if i >= len(list) {
+		return nil, len(list)
+	}
+	return n.mesh.Peer(list[i]), len(list)
+}
+
+// sources returns the VMs to follow, best first.
+func (n *Process) sources() []roster.Member {
 	var sources []roster.Member
 	if view := n.members.Load(); view != nil {
 		sources = view.Sources(readerKey)
@@ -37,11 +68,7 @@
 			}
 		}
 	}
-	if len(sources) == 0 {
-		return nil, 0
-	}
-	sources = sources[:min(len(sources), maxSources)]
-	return n.mesh.Peer(sources[i%len(sources)]), len(sources)
+	return sources[:min(len(sources), maxSources)]
 }
 
 // settle asks every member; those that give no answer are asked again.
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -74,6 +74,7 @@
 		a.members = m.View
 	case Load:
 		a.loads.add(now, m)
+		a.noteUnreachable(now, m.Unreachable)
 	case Unreachable:
 		a.unreachable[m.Target] = now
 	case Appended:
@@ -134,6 +135,26 @@
 	}
 }
 
+// noteUnreachable takes over what VMs report of targets. VMs of one failure
+// domain may be cut off from a target that all others reach, so reports from two
+// domains are needed.
+func (a *Assigner) noteUnreachable(now core.Instant, targets []core.Target) {
+	if a.members == nil {
+		return
+	}
+	for _, t := range targets {
+		domains := make(map[core.FailureDomain]bool)
+		for vm := range a.loads.unreachable(now, t) {
+			if m, ok := a.members.Member(vm); ok {
+				domains[m.FailureDomain] = true
+			}
+		}
+		if len(domains) > 1 {
+			a.unreachable[t] = now
+		}
+	}
+}
+
 // fresh reports whether the ledger is new enough to append to.
 func (a *Assigner) fresh(now core.Instant) bool {
 	return a.asOf != 0 && now.Sub(a.asOf) < freshAge
--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
@@ -10,6 +11,9 @@
 	// loadExpiry is the age from which a VM's report no longer counts; VMs report
 	// every second.
 	loadExpiry = 3 * time.Second
+	// reportedTime is for how long a report of an unreachable target counts: one
+	// interval of the reports and some delay.
+	reportedTime = 1500 * time.Millisecond
 	// defaultServiceTime stands for a target that nobody has measured yet. Only
 	// its ratio to measured targets matters.
 	defaultServiceTime = 100 * time.Millisecond
@@ -57,6 +61,17 @@
 	return &out, total
 }
 
+// unreachable returns the VMs whose last report names a target as unreachable.
+func (l *loads) unreachable(now core.Instant, t core.Target) map[core.VM]bool {
+	out := make(map[core.VM]bool)
+	for vm, r := range l.reports {
+		if now.Sub(r.at) <= reportedTime && slices.Contains(r.Unreachable, t) {
+			out[vm] = true
+		}
+	}
+	return out
+}
+
 // serviceTime returns the mean over the VMs that measured a target.
 func (l *loads) serviceTime(t core.Target) time.Duration {
 	var sum time.Duration
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -40,6 +40,8 @@
 	Units map[core.Service]map[int]float64
 	// ServiceTime is the mean time of a request at a target without queueing.
 	ServiceTime map[core.Target]time.Duration
+	// Unreachable are targets that the VM can't connect to at present.
+	Unreachable []core.Target
 }
 
 // Unreachable says that requests fail to connect to a target's process.
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -331,3 +331,27 @@
 		is.True(got >= c.want && got < c.want+firstRow) // rows move as a whole
 	}
 }
+
+// Guards against keys that wait until the assigner itself happens to call a
+// lost owner, and against an owner that is taken out because one failure domain
+// can't reach it.
+func TestReportsOfUnreachableTargets(t *testing.T) {
+	is := is.New(t)
+	start := core.Instant(time.Hour)
+	a := NewAssigner(Lead{VM: "v0", Incarnation: 1})
+	r := roster.New(roster.Member{VM: "v0", FailureDomain: "d0"})
+	for _, m := range []roster.Member{{VM: "v0", FailureDomain: "d0"}, {VM: "v1", FailureDomain: "d0"}, {VM: "v2", FailureDomain: "d1"}} {
+		r.Renew(start, m)
+	}
+	a.Step(start, MembersChanged{View: r.View()})
+	out := &discovery.Target{Entry: discovery.Entry{ID: "t", Address: "t"}}
+	a.Step(start, Load{VM: "v0", Unreachable: []core.Target{"t"}})
+	a.Step(start, Load{VM: "v1", Unreachable: []core.Target{"t"}})
+	is.True(a.eligible(start, out))
+	late := start.Add(reportedTime + time.Millisecond)
+	a.Step(late, Load{VM: "v2", Unreachable: []core.Target{"t"}})
+	is.True(a.eligible(late, out)) // the other reports are too old
+	a.Step(late, Load{VM: "v0", Unreachable: []core.Target{"t"}})
+	is.True(!a.eligible(late, out))
+	is.True(a.eligible(late.Add(unreachableTime+time.Millisecond), out))
+}
--- a/internal/ownership/target_test.go
+++ b/internal/ownership/target_test.go
@@ -101,14 +101,13 @@
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
-// restarted is what a health check shows of a process: it is cold although the
-// known one started long ago.
+// restarted is what a health check shows of a process: it is cold for longer
+// than the known one can be.
 func (v *vm) restarted(h Holder) bool {
-	const coldTime = 3 * time.Second
+	const coldTime, margin = 3 * time.Second, 250
 	t := v.target(h.Target)
 	cold := v.now.Sub(core.Instant(t.born)*core.Instant(time.Millisecond)) < coldTime
-	young := v.now.Sub(core.Instant(h.Born)*core.Instant(time.Millisecond)) < coldTime
-	return t.up && !t.cutTo[v.name] && cold && !young
+	return t.up && !t.cutTo[v.name] && cold && t.born > h.Born+margin
 }
 
 func (v *vm) renew(mine int64, o Renew) {
