--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -188,8 +188,6 @@
 		return r.judgeAnswer(a.answer)
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return balance.Cancelled
-	case errors.Is(a.err, upstream.ErrTurnedAway):
-		return balance.Shed
 	case errors.Is(a.err, upstream.ErrNotSent):
 		return balance.NoConnection
 	case upstream.IsTimeout(a.err):
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,8 +53,6 @@
 	ErrNotSent = errors.New("upstream: not sent")
 	// ErrRefused: nothing accepts connections at the address.
 	ErrRefused = errors.New("upstream: connection refused")
-	// ErrTurnedAway: the target closed a new connection before it was used.
-	ErrTurnedAway = errors.New("upstream: turned away")
 	// ErrIncomplete: the answer ended early, or isn't one.
 	ErrIncomplete = errors.New("upstream: answer incomplete")
 	// ErrBroken: the connection ended before an answer began.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,10 +21,6 @@
 	// idleMargin is left between this VM's and the target's end of an idle
 	// connection, so that a request doesn't cross the close.
 	idleMargin = 1500 * time.Millisecond
-	// acceptTime is how long a new connection is watched before it is used. A
-	// target that has too many resets it at once, and a request that was written
-	// until then might have run for all that is known.
-	acceptTime = time.Millisecond
 	// unackedLimit ends connections whose peer fell silent.
 	unackedLimit = 3 * time.Second
 	readBuffer   = 8 << 10
@@ -109,11 +105,6 @@
 	if t, ok := c.(*net.TCPConn); ok {
 		limitSilence(t)
 	}
-	time.Sleep(acceptTime)
-	if !quiet(c) {
-		_ = c.Close()
-		return nil, fmt.Errorf("upstream: connect to %s: %w", address, ErrTurnedAway)
-	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), key: key, keep: defaultIdle}, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -229,32 +229,3 @@
 	is.Equal(req.Header.Get("Expect"), "t")
 	is.Equal(string(body), "body")
 }
-
-// Guards against an unknown outcome of a request that a target with too many
-// connections never got: it closes new ones at once.
-func TestNewConnectionThatIsClosedAtOnce(t *testing.T) {
-	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = l.Close() }()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
-	// On a busy machine the reset may arrive after the watch.
-	for end := time.Now().Add(30 * time.Second); ; {
-		_, err := do(client(), l.Addr().String(), "1")
-		is.True(err != nil)
-		if errors.Is(err, ErrTurnedAway) {
-			is.True(errors.Is(err, ErrNotSent))
-			return
-		}
-		is.True(time.Now().Before(end))
-	}
-}
