ownership: a process that was started again is released too

Finding: two targets held a key (random schedules with a target that ends and starts again some times in a row, as flapping servers do). A VM that had just started, and read the directory before the target had registered again after an outage of the store, renewed the former row at the new process, which knew no token and was warm by then. The new process is now released at the new token before the keys move; if it doesn't answer, the usual bound is waited for. The schedules keep the new kind of disturbance.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -55,7 +55,7 @@
 func (w *world) disturb() {
 	v, t := w.vms[w.random.IntN(len(w.vms))], w.targets[w.random.IntN(len(w.targets))]
 	d := time.Duration(500+w.random.IntN(6000)) * time.Millisecond
-	switch w.random.IntN(8) {
+	switch w.random.IntN(9) {
 	case 0:
 		if v.up {
 			w.restart(v, d/3)
@@ -91,6 +91,8 @@
 			t.cutTo[o.name] = o != v
 		}
 		w.after(d, func() { clear(t.cutTo) })
+	case 8:
+		w.flap(t, 3)
 	case 7:
 		w.note("all VMs killed")
 		for _, o := range w.vms {
@@ -101,6 +103,20 @@
 	}
 }
 
+// flap ends a target and starts it again some times in a row, before it is warm.
+func (w *world) flap(t *target, times int) {
+	if !t.up || times == 0 {
+		return
+	}
+	w.note("%s down for a moment", t.id)
+	t.up = false
+	w.after(time.Duration(500+w.random.IntN(400))*time.Millisecond, func() {
+		t.start(w)
+		w.note("%s back, born %d", t.id, t.born)
+		w.after(time.Duration(300+w.random.IntN(900))*time.Millisecond, func() { w.flap(t, times-1) })
+	})
+}
+
 // Guards against targets that stop because the store is away: a majority that
 // knows of nothing newer goes on renewing.
 func TestStoreOutageKeepsGrants(t *testing.T) {
--- a/internal/ownership/task.go
+++ b/internal/ownership/task.go
@@ -143,7 +143,7 @@
 			return nil
 		}
 		t.busy, e.trying = true, true
-		return []Output{Release{Task: t.id, Holder: e.holder, From: t.id.From, To: t.to, Fence: t.id.Fence}}
+		return []Output{Release{Task: t.id, Holder: a.process(e.holder), From: t.id.From, To: t.to, Fence: t.id.Fence}}
 	case granting:
 		// An assigner that was cut off may have been replaced, and the keys given
 		// to another target since.
@@ -162,13 +162,19 @@
 	return nil
 }
 
-// ended reports whether a holder provably holds nothing more under older
-// records: its process was replaced, or every grant that a VM can have renewed
-// has run out.
-func (a *Assigner) ended(now core.Instant, e *eviction) bool {
-	if next, ok := a.targets.Targets[e.holder.Target]; ok && next.Born > e.holder.Born {
-		return true
+// process returns the process that runs under a holder's id now. One that was
+// started again holds nothing, but VMs that have not heard of it may renew the
+// former one's rows there, so it is told the new token as well.
+func (a *Assigner) process(h Holder) Holder {
+	if next, ok := a.targets.Targets[h.Target]; ok && next.Born > h.Born {
+		return Holder{Target: h.Target, Born: next.Born, Address: next.Address}
 	}
+	return h
+}
+
+// ended reports whether a holder that doesn't answer provably holds nothing more
+// under older records: every grant that a VM can have renewed has run out.
+func (a *Assigner) ended(now core.Instant, e *eviction) bool {
 	if !e.silent {
 		return false
 	}
