--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -115,9 +115,6 @@
 }
 
 func (c *cluster) startVM(g *gateway) error {
-	c.mu.Lock()
-	delete(c.stops, g)
-	c.mu.Unlock()
 	return g.start(func(planned bool, state *os.ProcessState) {
 		if planned {
 			return
@@ -275,6 +272,9 @@
 }
 
 func (c *cluster) restartVM(g *gateway) {
+	c.mu.Lock()
+	delete(c.stops, g)
+	c.mu.Unlock()
 	if err := c.startVM(g); err != nil {
 		c.check.report(Process, "%v", err)
 	}
--- a/soak/gateway.go
+++ b/soak/gateway.go
@@ -96,11 +96,14 @@
 	return l.Addr().String(), nil
 }
 
-// start runs a new process. ended is called with whether its end was caused by
-// the soak, and its state.
+// start runs a new process, unless another event has done so already. ended is
+// called with whether the process's end was caused by the soak, and its state.
 func (g *gateway) start(ended func(planned bool, state *os.ProcessState)) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.running() {
+		return nil
+	}
 	g.starts++
 	out, err := os.Create(filepath.Join(g.dir, fmt.Sprintf("%s.%d.log", g.name, g.starts)))
 	if err != nil {
@@ -126,14 +129,25 @@
 	return nil
 }
 
+// running must be called with the lock held.
+func (g *gateway) running() bool {
+	if g.cmd == nil {
+		return false
+	}
+	select {
+	case <-g.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal reports whether the process runs and got the signal.
 func (g *gateway) signal(s syscall.Signal) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	select {
-	case <-g.exited:
+	if !g.running() {
 		return false
-	default:
 	}
 	switch s {
 	case syscall.SIGTERM, syscall.SIGKILL:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,3 +65,19 @@
 	is.True(r.Counts["runs"] > 100)
 	is.True(r.Counts["status 200"] > 100)
 }
+
+// Guards against two processes of one VM, of which the second would fail and the
+// first would be left behind, when a stop and a kill of it overlap (seed 2000).
+func TestOverlappingRestarts(t *testing.T) {
+	is := is.New(t)
+	program := filepath.Join(t.TempDir(), "program")
+	is.NoErr(os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 600\n"), 0o700))
+	g := &gateway{name: "vm0", dir: t.TempDir(), program: program}
+	ended := func(bool, *os.ProcessState) {}
+	is.NoErr(g.start(ended))
+	is.NoErr(g.start(ended))
+	is.Equal(g.starts, 1)
+	is.True(g.signal(syscall.SIGKILL))
+	is.True(g.wait(progressTime))
+	is.True(!g.signal(syscall.SIGTERM))
+}
