--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 // Client calls other VMs.
@@ -23,14 +23,10 @@
 
 // NewClient returns a client. Its connections are kept for the next call.
 func NewClient(clock duty.Clock) *Client {
-	const (
-		dialTimeout = 300 * time.Millisecond
-		idle        = 10 * time.Second
-	)
-	return &Client{clock: clock, http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: idle, DisableCompression: true,
-	}}}
+	// A VM has one call at a time to most others; a follower's call is held.
+	return &Client{clock: clock, http: &http.Client{Transport: transport.New(transport.Options{
+		DialTimeout: 300 * time.Millisecond, Idle: 10 * time.Second, PerHost: 2,
+	})}}
 }
 
 func (c *Client) to(m roster.Member) meshpb.Mesh {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -144,3 +144,14 @@
 	n.verified.Store(h, asked)
 	return false, nil
 }
+
+// forgetVerified drops the health checks that no longer speak for a process.
+func (n *Process) forgetVerified() {
+	now := n.clock()
+	n.verified.Range(func(holder, at any) bool {
+		if now.Sub(at.(core.Instant)) >= verifiedTime {
+			n.verified.Delete(holder)
+		}
+		return true
+	})
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -155,7 +155,10 @@
 		}
 	}
 	n.every(ctx, reportInterval, n.report)
-	n.every(ctx, sweepInterval, func(context.Context) { n.pool.Sweep() })
+	n.every(ctx, sweepInterval, func(context.Context) {
+		n.pool.Sweep()
+		n.forgetVerified()
+	})
 	n.every(ctx, rosterTick, n.tickRoster)
 	n.every(ctx, readinessInterval, n.checkReady)
 	return ctx
