--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -140,24 +139,28 @@
 	o := wire.ServerOptions{
 		ID: id, Service: s.service, Zone: s.domain, Slots: slots, Sharded: s.service == "seats", Cold: cold, Observer: c.check,
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("soak: target %s: %w", id, err)
-	}
-	o.Listen = l.Addr().String()
-	_ = l.Close()
-	if s.link == nil {
-		s.link, err = NewProxy(o.Listen)
-	} else {
-		err = s.link.Accept(o.Listen)
-	}
-	if err != nil {
-		return err
+	// The target listens at a port that the kernel picks, and the link learns it
+	// afterwards: a port that is given back for a moment may be taken.
+	first := s.link == nil
+	if first {
+		link, err := NewProxy()
+		if err != nil {
+			return err
+		}
+		s.link = link
 	}
 	o.Advertise = s.link.Address()
-	if s.server, err = wire.StartServer(c.store, o); err != nil {
+	server, err := wire.StartServer(c.store, o)
+	if err != nil {
 		return fmt.Errorf("soak: target %s: %w", id, err)
 	}
+	s.server = server
+	s.link.SetTarget(server.Address())
+	if !first {
+		if err := s.link.Accept(); err != nil {
+			return err
+		}
+	}
 	s.server.SetFaults(target.Faults{ServiceTime: serviceTime})
 	s.leaving = false
 	return nil
--- a/soak/gateway.go
+++ b/soak/gateway.go
@@ -41,18 +41,18 @@
 	if err := g.openStore(store); err != nil {
 		return nil, err
 	}
-	var err error
 	// Each VM has its own loopback address, so that a port that it leaves for a
 	// moment is not taken by a connection of another.
 	ip := fmt.Sprintf("127.0.%d.%d", 1+i/250, 1+i%250)
-	for _, a := range []*string{&g.callers, &g.ready, &g.peers} {
-		if *a, err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	free, err := freeAddresses(ip, 3)
+	if err != nil {
+		return nil, err
 	}
-	if g.callerLink, err = NewProxy(g.callers); err != nil {
+	g.callers, g.ready, g.peers = free[0], free[1], free[2]
+	if g.callerLink, err = NewProxy(); err != nil {
 		return nil, err
 	}
+	g.callerLink.SetTarget(g.callers)
 	g.settings = filepath.Join(dir, g.name+".json")
 	b, err := json.Marshal(map[string]any{
 		"nodeName": g.name, "ip": ip, "zone": domain, "seeds": seeds, "contracts": []string{"platform"},
@@ -83,17 +83,26 @@
 		store.ServeHTTP(w, r)
 	})}
 	go func() { _ = g.store.Serve(l) }()
-	g.storeLink, err = NewProxy(l.Addr().String())
-	return err
+	if g.storeLink, err = NewProxy(); err != nil {
+		return err
+	}
+	g.storeLink.SetTarget(l.Addr().String())
+	return nil
 }
 
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", fmt.Errorf("soak: free port at %s: %w", ip, err)
+// freeAddresses returns addresses that were free a moment ago. All are open at
+// the same time, so that they differ.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fmt.Errorf("soak: free port at %s: %w", ip, err)
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return out, nil
 }
 
 // start runs a new process, unless another event has done so already. ended is
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -22,9 +22,10 @@
 // outside. Bytes that a cut holds back are passed on when it ends, as a
 // retransmission would.
 type Proxy struct {
-	address, target string
+	address string
 
 	mu       sync.Mutex
+	target   string
 	changed  *sync.Cond
 	listener net.Listener
 	cut      Cut
@@ -35,9 +36,10 @@
 
 type pair struct{ near, far *net.TCPConn }
 
-// NewProxy returns a proxy that listens at a port picked by the kernel.
-func NewProxy(target string) (*Proxy, error) {
-	p := &Proxy{target: target, pairs: make(map[*pair]struct{})}
+// NewProxy returns a proxy that listens at a port picked by the kernel. It resets
+// connections until it has a target.
+func NewProxy() (*Proxy, error) {
+	p := &Proxy{pairs: make(map[*pair]struct{})}
 	p.changed = sync.NewCond(&p.mu)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,8 +53,12 @@
 // Address returns where the proxy listens.
 func (p *Proxy) Address() string { return p.address }
 
-// Target returns where the proxy passes connections to.
-func (p *Proxy) Target() string { return p.target }
+// SetTarget sets the address to which new connections are passed on.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
 
 func (p *Proxy) serve(l net.Listener) {
 	p.mu.Lock()
@@ -70,7 +76,10 @@
 }
 
 func (p *Proxy) connect(near *net.TCPConn) {
-	far, err := net.DialTimeout("tcp", p.target, time.Second)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	far, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		reset(near)
 		return
@@ -170,12 +179,11 @@
 // connection of another process may hold for a moment.
 const rebindTime = 10 * time.Second
 
-// Accept listens again after Refuse, for a new listener behind it.
-func (p *Proxy) Accept(target string) error {
+// Accept listens again after Refuse.
+func (p *Proxy) Accept() error {
 	for end := time.Now().Add(rebindTime); ; time.Sleep(20 * time.Millisecond) {
 		l, err := net.Listen("tcp", p.address)
 		if err == nil {
-			p.target = target
 			p.serve(l)
 			return nil
 		}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -35,8 +35,9 @@
 func TestProxy(t *testing.T) {
 	is := is.New(t)
 	address := echo(t)
-	p, err := NewProxy(address)
+	p, err := NewProxy()
 	is.NoErr(err)
+	p.SetTarget(address)
 	defer p.Close()
 	dial := func() (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", p.Address())
@@ -66,7 +67,7 @@
 	p.Refuse()
 	_, err = net.Dial("tcp", p.Address())
 	is.True(err != nil)
-	is.NoErr(p.Accept(address))
+	is.NoErr(p.Accept())
 	c, r = dial()
 	is.NoErr(say(c, r, progressTime))
 }
