--- a/internal/coordinate/world_test.go
+++ b/internal/coordinate/world_test.go
@@ -1,7 +1,6 @@
 package coordinate
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -13,14 +12,14 @@
 	"celeryhook.example/celeryhook/internal/grant"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/policy"
+	"celeryhook.example/celeryhook/internal/virtual"
 )
 
 // world is a deployment on a virtual clock: VMs that run the real steps of the
 // duties, targets, the log and the links between them.
 type world struct {
 	now      core.Instant
-	events   events
-	sequence uint64
+	events   virtual.Queue
 	rand     *rand.Rand
 	vms      map[core.VM]*simVM
 	targets  map[core.Target]*simTarget
@@ -40,27 +39,6 @@
 	stall float64
 }
 
-type event struct {
-	at       core.Instant
-	sequence uint64
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 func newWorld(seed uint64) *world {
 	return &world{
 		rand: rand.New(rand.NewPCG(seed, 1)), tick: 25 * time.Millisecond,
@@ -71,16 +49,18 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.sequence++
-	heap.Push(&w.events, event{at: w.now.Add(d), sequence: w.sequence, run: run})
+	w.events.Add(w.now.Add(d), run)
 }
 
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.events) > 0 && w.events[0].at <= end && len(w.faults) == 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for len(w.faults) == 0 {
+		e, ok := w.events.Next(end)
+		if !ok {
+			break
+		}
+		w.now = e.At
+		e.Do()
 	}
 	w.now = end
 }
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -12,6 +11,7 @@
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/virtual"
 )
 
 const service = core.Service("seats")
@@ -20,16 +20,15 @@
 // that check tokens, all on one virtual clock. It reports every violation of
 // single ownership.
 type world struct {
-	now      core.Instant
-	random   *rand.Rand
-	events   events
-	sequence int
-	log      []replica.Record
-	storeUp  bool
-	vms      []*vm
-	targets  []*target
-	faults   []string
-	trace    []string
+	now     core.Instant
+	random  *rand.Rand
+	events  virtual.Queue
+	log     []replica.Record
+	storeUp bool
+	vms     []*vm
+	targets []*target
+	faults  []string
+	trace   []string
 }
 
 type vm struct {
@@ -62,27 +61,6 @@
 	slow float64
 }
 
-type event struct {
-	at  core.Instant
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 func newWorld(seed uint64, vms, targets int) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), storeUp: true, now: core.Instant(time.Hour)}
 	for i := range targets {
@@ -100,8 +78,7 @@
 }
 
 func (w *world) after(d time.Duration, f func()) {
-	w.sequence++
-	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.sequence, run: f})
+	w.events.Add(w.now.Add(d), f)
 }
 
 func (w *world) every(d time.Duration, f func()) {
@@ -110,10 +87,9 @@
 
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
+	for e, ok := w.events.Next(end); ok; e, ok = w.events.Next(end) {
+		w.now = e.At
+		e.Do()
 	}
 	w.now = end
 }
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -1,7 +1,6 @@
 package route_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/virtual"
 )
 
 // The model is a discrete-event run of one service on a virtual clock: callers,
@@ -48,28 +48,6 @@
 	load        float64       // share of all slots
 }
 
-// event is something that happens at an instant.
-type event struct {
-	at     core.Instant
-	number uint64
-	do     func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].number < a[j].number
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return x
-}
-
 // arrival is a caller's request as it reaches an entry VM.
 type arrival struct {
 	entry    int
@@ -103,8 +81,7 @@
 type model struct {
 	d         deployment
 	now       core.Instant
-	agenda    agenda
-	events    uint64
+	events    virtual.Queue
 	random    *rand.Rand
 	servers   []*server
 	latency   *hdrhistogram.Histogram
@@ -135,8 +112,7 @@
 }
 
 func (m *model) after(d time.Duration, do func()) {
-	m.events++
-	heap.Push(&m.agenda, event{at: m.now.Add(d), number: m.events, do: do})
+	m.events.Add(m.now.Add(d), do)
 }
 
 func (m *model) run() {
@@ -151,13 +127,10 @@
 		m.servers[1].cold, m.servers[1].responses = true, 0
 		m.servers[1].incarnation++
 	})
-	for len(m.agenda) > 0 {
-		e := heap.Pop(&m.agenda).(event)
-		if e.at > core.Instant(runFor+2*timeout) {
-			return
-		}
-		m.now = e.at
-		e.do()
+	end := core.Instant(runFor + 2*timeout)
+	for e, ok := m.events.Next(end); ok; e, ok = m.events.Next(end) {
+		m.now = e.At
+		e.Do()
 	}
 }
 
