soak: tests only; names of the protocol stand in the stand-in

The program must start no other process, and only the adapter and its stand-in may know the wire's names. The soak is a test package now, as scenario is: 'celeryhook soak' is gone, go test ./soak with -soak.seed, -soak.seeds, -soak.minutes, -soak.dir and -soak.slack plays the same schedules with the same checks and bounds.

Settings file, configuration, evacuation and request headers were written out in the soak and in the tests of internal/node; standin/wire has each once. The two checks for undisturbed time are one loop.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,7 +44,6 @@
 	add(parser, "explain", "Show where a key goes", "Shows hash, range, home failure domain, target and front of a key, and why. Exit code 1 if a request for the key would be refused now.", &explainCommand{streams: s})
 	add(parser, "demo", "Run a small deployment", "Runs three failure domains with entry VMs, targets and the platform's stand-in in one process, and says how to use them.", &demoCommand{streams: s})
 	add(parser, "report", "Draw a journal entry or logs", "Writes a page with plots: the parts and prices of the days of a journal entry, or latency, outcomes and the owners of a key over time from logs of gateway VMs.", &reportCommand{streams: s})
-	add(parser, "soak", "Disturb a small deployment and check promises", "Runs gateway VMs as processes against stand-ins, disturbs them by seeded schedules, and checks what callers and targets see. Exit code 1 if a promise was broken.", &soakCommand{streams: s})
 	add(parser, "version", "Show the version", "Shows release, revision and toolchain.", &versionCommand{streams: s})
 	add(parser, "standin-platform", "Run the platform's stand-in", "Runs a stand-in of the platform for trials.", &platformCommand{streams: s})
 	add(parser, "standin-target", "Run a target's stand-in", "Runs a stand-in of a target for trials.", &targetCommand{streams: s})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -30,11 +29,21 @@
 // moment.
 const patience = 60 * time.Second
 
-const config = `{"version":%d,"routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency","priority","maxAttempts","service"],
-"rows":[["read","h","/read/","safe","5s","1s",2,2,"desk"],["book","h","/book/","unsafe","5s","1s",1,2,"desk"],["seat","h","/seat/","safe","5s","1s",2,2,"seats"]]},
-"services":{"columns":["name","healthPath","maxConns","coldStart","coldPerS","sharded"],
-"rows":[["desk","/health",110,"1s",21.0,null],["seats","/health",110,"1s",21.0,true]]},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}}`
+// config returns a configuration with a prefix of the lookups.
+func config(version int, lookups string) wire.Config {
+	return wire.Config{
+		Version: version, Timeout: 5 * time.Second,
+		Routes: []wire.Route{
+			{Name: "read", Prefix: lookups, Service: "desk"},
+			{Name: "book", Prefix: "/book/", Unsafe: true, Service: "desk"},
+			{Name: "seat", Prefix: "/seat/", Service: "seats"},
+		},
+		Services: []wire.ServiceOptions{
+			{Name: "desk", MaxConns: 110, Cold: time.Second, ColdRate: 21},
+			{Name: "seats", MaxConns: 110, Cold: time.Second, ColdRate: 21, Sharded: true},
+		},
+	}
+}
 
 // deployment is a store, servers and gateway VMs on loopback.
 type deployment struct {
@@ -58,7 +67,7 @@
 	s := httptest.NewServer(d.store)
 	t.Cleanup(s.Close)
 	d.address = strings.TrimPrefix(s.URL, "http://")
-	d.configure(1)
+	d.configure(config(1, "/read/"))
 	for i := range 3 {
 		for _, service := range []string{"desk", "seats"} {
 			d.server(wire.ServerOptions{ID: fmt.Sprint(service, i), Service: service, Zone: fmt.Sprint("z", i%2), Slots: 8, Sharded: service == "seats"})
@@ -74,8 +83,8 @@
 	return d
 }
 
-func (d *deployment) configure(version int) {
-	d.store.Put("keyed.op", "config", fmt.Appendf(nil, config, version))
+func (d *deployment) configure(c wire.Config) {
+	is.New(d.t).NoErr(d.store.Configure(c))
 }
 
 func (d *deployment) server(o wire.ServerOptions) *wire.Server {
@@ -100,12 +109,9 @@
 	for _, o := range d.vms {
 		seeds = append(seeds, o.mesh)
 	}
-	b, err := json.Marshal(map[string]any{
-		"nodeName": name, "ip": "127.0.0.1", "zone": zone, "seeds": seeds, "contracts": []string{"platform"},
-		"listen":   map[string]string{"front": v.callers, "readyAddr": v.ready, "control": v.mesh},
-		"bounds":   []string{"grace=6s", "retryBudgetRatio=0.2", "budgetExtra=60"},
-		"platform": map[string]string{"address": d.address, "form": "log"},
-	})
+	b, err := wire.VM{
+		Name: name, IP: "127.0.0.1", Zone: zone, Seeds: seeds, Callers: v.callers, Ready: v.ready, Peers: v.mesh, Store: d.address,
+	}.Settings()
 	is.New(d.t).NoErr(err)
 	is.New(d.t).NoErr(os.WriteFile(v.config, b, 0o600))
 	d.vms = append(d.vms, v)
@@ -143,7 +149,7 @@
 }
 
 func (d *deployment) isReady(v *vm) bool {
-	res, err := http.Get("http://" + v.ready + "/api/ready")
+	res, err := http.Get("http://" + v.ready + wire.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -177,17 +183,14 @@
 	if err != nil {
 		return reply{}, err
 	}
-	req.Host = "h"
-	req.Header.Set("Celeryhook-Request-Id", id)
-	req.Header.Set("Celeryhook-Deadline-Ms", "4000")
-	req.Header.Set("Celeryhook-Shard-Key", fmt.Sprint(key))
+	req.Host, req.Header = wire.Host, wire.RequestHeader(id, 4*time.Second, key)
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return reply{id: id}, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
-	return reply{id: id, body: string(b), status: res.StatusCode, signed: res.Header.Get("Celeryhook-Server-Stamp") != ""}, err
+	return reply{id: id, body: string(b), status: res.StatusCode, signed: wire.Stamp(res.Header) != ""}, err
 }
 
 // check asserts what must hold for every answer: a success is the server's own
@@ -355,15 +358,14 @@
 // Guards against a configuration that goes back, or isn't in force everywhere.
 func TestConfigurationChange(t *testing.T) {
 	d := newDeployment(t)
-	changed := strings.Replace(fmt.Sprintf(config, 5), "/read/", "/lookup/", 1)
-	d.store.Put("keyed.op", "config", []byte(changed))
+	d.configure(config(5, "/lookup/"))
 	for _, v := range d.vms {
 		d.until("the new route is served by "+v.name, func() bool {
 			r, err := d.send(v, "GET", "/lookup/1", 0)
 			return err == nil && r.status == http.StatusOK
 		})
 	}
-	d.configure(4)
+	d.configure(config(4, "/read/"))
 	time.Sleep(500 * time.Millisecond)
 	for _, v := range d.vms {
 		r, err := d.send(v, "GET", "/read/1", 0)
--- a/soak/caller.go
+++ b/soak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"celeryhook.example/celeryhook/standin/wire"
 )
 
 const (
@@ -107,8 +110,7 @@
 	r := c.newRequest()
 	c.check.send(r)
 	_ = c.conn.SetDeadline(time.Now().Add(callerPatience))
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: h\r\nCeleryhook-Request-Id: %s\r\nCeleryhook-Deadline-Ms: %d\r\nCeleryhook-Shard-Key: %d\r\nContent-Length: %d\r\n\r\n%s",
-		r.method, r.uri, r.id, deadline.Milliseconds(), c.key(), len(r.body), r.body)
+	_, err := c.conn.Write(c.encode(r))
 	var o outcome
 	if err == nil {
 		o, err = c.answer(r)
@@ -124,6 +126,14 @@
 	c.check.finish(r, o)
 }
 
+func (c *caller) encode(r *request) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.uri, wire.Host)
+	_ = wire.RequestHeader(r.id, deadline, c.key()).Write(&b) // a bytes.Buffer returns no error
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+	return b.Bytes()
+}
+
 func (c *caller) answer(r *request) (outcome, error) {
 	res, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
 	if err != nil {
@@ -133,7 +143,7 @@
 	if err != nil {
 		return outcome{}, err
 	}
-	o := outcome{status: res.StatusCode, stamp: res.Header.Get("Celeryhook-Server-Stamp"), body: string(body), stray: c.reader.Buffered()}
+	o := outcome{status: res.StatusCode, stamp: wire.Stamp(res.Header), body: string(body), stray: c.reader.Buffered()}
 	if res.Close {
 		c.hangUp()
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,179 +1,245 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
-	"testing"
+	"strings"
+	"sync"
 	"time"
 
-	"github.com/matryer/is"
-
 	"celeryhook.example/celeryhook/standin/wire"
 )
 
-// bench is a checker with a VM and two targets that hold keys.
-type bench struct {
-	*checker
-	vm   *gateway
-	a, b *wire.Server
-}
-
-func newBench(t *testing.T) *bench {
-	c := newChecker(&history{}, 1)
-	store := wire.NewStore()
-	out := &bench{checker: c, vm: &gateway{name: "vm0"}}
-	for _, s := range []**wire.Server{&out.a, &out.b} {
-		o := wire.ServerOptions{ID: "a", Service: "seats", Zone: "z0", Slots: 1, Sharded: true}
-		if s == &out.b {
-			o.ID = "b"
+// Promise is what a violation breaks.
+type Promise string
+
+// Promises.
+const (
+	OneOwner    Promise = "one owner of a key"
+	Token       Promise = "rising tokens"
+	AtMostOnce  Promise = "at most one run"
+	TrueRefusal Promise = "a refused request does not run"
+	OwnRequest  Promise = "only requests that callers sent"
+	WholeAnswer Promise = "the whole answer to this request"
+	PlannedStop Promise = "no request is cut by a planned stop"
+	InForce     Promise = "the configuration in force"
+	NeverBack   Promise = "the configuration never goes back"
+	ColdLimit   Promise = "the limit of a cold target"
+	Draining    Promise = "no new work for a leaving target"
+	Evacuated   Promise = "no new work in an evacuated failure domain"
+	Recovery    Promise = "service returns after the last fault"
+	Process     Promise = "processes end only when told to"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Promise Promise
+	At      time.Duration
+	Text    string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%7.2fs %s: %s", v.At.Seconds(), v.Promise, v.Text)
+}
+
+// request is what a caller sent, and what became of it.
+type request struct {
+	id, method, uri, body string
+	idempotent            bool
+	vm                    *gateway
+	// life is the VM's process by the count of its starts.
+	life    int
+	sent    time.Time
+	runs    int
+	refused bool
+	served  bool
+}
+
+// checker checks promises as events come in. Its methods may be called from any
+// goroutine.
+type checker struct {
+	began   time.Time
+	slack   time.Duration
+	history *history
+
+	mu         sync.Mutex
+	violations []Violation
+	requests   map[string]*request
+	configs    configs
+	leaving    map[string]time.Time
+	evacuated  map[string]time.Time
+	cold       map[*wire.Server][]time.Time
+	keys       ownership
+	counts     map[string]int
+}
+
+// maxViolations bounds the report.
+const maxViolations = 50
+
+// newChecker returns a checker. On a busy machine the bounds in time are
+// multiplied by slack.
+func newChecker(h *history, slack int) *checker {
+	return &checker{
+		began: time.Now(), slack: time.Duration(slack), history: h,
+		requests:  make(map[string]*request),
+		leaving:   make(map[string]time.Time),
+		evacuated: make(map[string]time.Time),
+		cold:      make(map[*wire.Server][]time.Time),
+		keys:      newOwnership(),
+		counts:    make(map[string]int),
+	}
+}
+
+// violate must be called with the lock held.
+func (c *checker) violate(p Promise, format string, args ...any) {
+	if len(c.violations) < maxViolations {
+		c.violations = append(c.violations, Violation{Promise: p, At: time.Since(c.began), Text: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *checker) report(p Promise, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(p, format, args...)
+}
+
+// send notes a request before its first byte is sent.
+func (c *checker) send(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.sent = time.Now()
+	c.requests[r.id] = r
+}
+
+// Began implements wire.Observer.
+func (c *checker) Began(s *wire.Server, run wire.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["runs"]++
+	r := c.requests[run.ID]
+	if r == nil || run.Method != r.method || run.URI != r.uri || run.Body != r.body {
+		c.violate(OwnRequest, "target %s ran %s %s %s with a body of %d bytes", run.Server, run.ID, run.Method, run.URI, len(run.Body))
+		return
+	}
+	r.runs++
+	if !r.idempotent && r.runs > 1 {
+		c.violate(AtMostOnce, "target %s runs %s for the %d. time", run.Server, r.id, r.runs)
+	}
+	if !r.idempotent && r.refused {
+		c.violate(TrueRefusal, "target %s runs %s, which was refused", run.Server, r.id)
+	}
+	calm := c.history.calm(r.sent, run.At, place(r.vm.name), place(run.Server), theStore)
+	if at, ok := c.leaving[run.Server]; ok && calm && run.At.Sub(at) > drainBound*c.slack {
+		c.violate(Draining, "target %s got %s through %s %v after it said that it leaves", run.Server, r.id, r.vm.name, run.At.Sub(at))
+	}
+	if at, ok := c.evacuated[s.Zone]; ok && calm && run.At.Sub(at) > evacuateBound*c.slack {
+		c.violate(Evacuated, "target %s in %s got %s through %s %v after the evacuation", run.Server, s.Zone, r.id, r.vm.name, run.At.Sub(at))
+	}
+	c.checkCold(s, run)
+	c.checkConfigRun(r, run)
+	if run.Key >= 0 {
+		for _, text := range c.keys.began(s, run, c.history.lateGrants(run.At)) {
+			c.violate(OneOwner, "%s", text)
 		}
-		var err error
-		*s, err = wire.StartServer(store, o)
-		is.New(t).NoErr(err)
-		t.Cleanup((*s).Stop)
-	}
-	c.nextConfig(1)
-	c.acceptedConfig()
-	return out
-}
-
-// sent notes a request that was sent some time ago.
-func (b *bench) sent(id, method, uri string, ago time.Duration) *request {
-	r := &request{id: id, method: method, uri: uri, idempotent: method == http.MethodGet, vm: b.vm, life: 1}
-	b.send(r)
-	r.sent = time.Now().Add(-ago)
-	return r
-}
-
-func run(r *request, s *wire.Server, key int) wire.Run {
-	return wire.Run{Server: s.ID, ID: r.id, Method: r.method, URI: r.uri, Key: key, At: time.Now()}
-}
-
-func (b *bench) grant(t *testing.T, s *wire.Server, fence int64) {
-	is.New(t).NoErr(wire.Grant(s.Address(), 0, 15, fence, 5*time.Second))
-	b.Granted(s, 0, 15, fence)
-}
-
-// Guards against a checker that misses what it is there for: each case breaks
-// one promise and must be reported as exactly that one.
-func TestCheckerReports(t *testing.T) {
-	for _, c := range []struct {
-		promise Promise
-		act     func(t *testing.T, b *bench)
-	}{
-		{AtMostOnce, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "POST", "/book/1", 0)
-			b.Began(b.a, run(r, b.a, -1))
-			b.Began(b.b, run(r, b.b, -1))
-		}},
-		{TrueRefusal, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "POST", "/book/1", 0)
-			b.Began(b.a, run(r, b.a, -1))
-			b.finish(r, outcome{status: http.StatusServiceUnavailable})
-		}},
-		{TrueRefusal, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "POST", "/book/1", 0)
-			b.finish(r, outcome{status: http.StatusTooManyRequests})
-			b.Began(b.a, run(r, b.a, -1))
-		}},
-		{OwnRequest, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "POST", "/book/1", 0)
-			x := run(r, b.a, -1)
-			x.Body = "smuggled"
-			b.Began(b.a, x)
-		}},
-		{WholeAnswer, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "GET", "/read/1", 0)
-			b.finish(r, outcome{status: http.StatusOK, stamp: "a.2", body: "answer of a to 2"})
-		}},
-		{WholeAnswer, func(_ *testing.T, b *bench) {
-			r := b.sent("1", "GET", "/read/1", 0)
-			b.finish(r, outcome{status: http.StatusOK, stamp: "a.1", body: "answer of a to 1", stray: 4})
-		}},
-		{OneOwner, func(t *testing.T, b *bench) {
-			b.grant(t, b.a, 1)
-			b.grant(t, b.b, 2)
-			b.Began(b.a, run(b.sent("1", "GET", "/seat/1", 0), b.a, 3))
-			b.Began(b.b, run(b.sent("2", "GET", "/seat/2", 0), b.b, 3))
-		}},
-		{OneOwner, func(t *testing.T, b *bench) {
-			b.grant(t, b.a, 1)
-			b.grant(t, b.b, 2)
-			b.compareOwners(time.Now())
-			b.compareOwners(time.Now().Add(time.Second))
-		}},
-		{Token, func(t *testing.T, b *bench) {
-			b.grant(t, b.a, 2)
-			b.grant(t, b.b, 2)
-		}},
-		{Draining, func(_ *testing.T, b *bench) {
-			b.setLeaving("a")
-			b.leaving["a"] = time.Now().Add(-drainBound - time.Second)
-			b.Began(b.a, run(b.sent("1", "GET", "/read/1", 0), b.a, -1))
-		}},
-		{Evacuated, func(_ *testing.T, b *bench) {
-			b.setEvacuated("z0", true)
-			b.evacuated["z0"] = time.Now().Add(-evacuateBound - time.Second)
-			b.Began(b.a, run(b.sent("1", "GET", "/read/1", 0), b.a, -1))
-		}},
-		{ColdLimit, func(t *testing.T, b *bench) {
-			s, err := wire.StartServer(wire.NewStore(), wire.ServerOptions{ID: "c", Service: "desk", Zone: "z1", Slots: 1, Cold: time.Minute})
-			is.New(t).NoErr(err)
-			defer s.Stop()
-			for range 37 {
-				b.Began(s, run(b.sent("1", "GET", "/read/1", 0), s, -1))
-			}
-		}},
-		{InForce, func(_ *testing.T, b *bench) {
-			b.configs.list[0].accepted = time.Now().Add(-time.Minute)
-			b.finish(b.sent("1", "GET", "/v/1/x", 0), outcome{status: http.StatusNotFound})
-		}},
-		{InForce, func(_ *testing.T, b *bench) {
-			b.configs.list[0].accepted = time.Now().Add(-time.Minute)
-			b.Began(b.a, run(b.sent("1", "GET", "/v/7/x", 0), b.a, -1))
-		}},
-		{NeverBack, func(_ *testing.T, b *bench) {
-			b.nextConfig(1)
-			b.Began(b.a, run(b.sent("1", "GET", "/v/2/x", 0), b.a, -1))
-			b.configs.seen[life{vm: "vm0", start: 1}] = seen{index: 1, at: time.Now().Add(-time.Second)}
-			b.finish(b.sent("2", "GET", "/v/2/y", 0), outcome{status: http.StatusNotFound})
-		}},
-		{PlannedStop, func(_ *testing.T, b *bench) {
-			end, at := b.history.beginAt("vm0")
-			r := b.sent("1", "POST", "/book/1", 0)
-			b.Began(b.a, run(r, b.a, -1))
-			b.finish(r, outcome{stoppedByPlan: at})
-			end()
-		}},
-	} {
-		t.Run(string(c.promise), func(t *testing.T) {
-			is := is.New(t)
-			b := newBench(t)
-			c.act(t, b)
-			_, violations := b.summary()
-			is.Equal(len(violations), 1)
-			is.Equal(violations[0].Promise, c.promise)
-		})
-	}
-}
-
-// Guards against bounds in time that are asserted where they do not hold: while
-// the VM, the target or the store is disturbed, and shortly after.
-func TestDisturbedPartsAreExcused(t *testing.T) {
-	is := is.New(t)
-	for _, p := range []place{"vm0", "a", theStore, thisMachine} {
-		b := newBench(t)
-		b.history.instant(p)
-		b.setLeaving("a")
-		b.leaving["a"] = time.Now().Add(-drainBound - time.Second)
-		b.Began(b.a, run(b.sent("1", "GET", "/read/1", 0), b.a, -1))
-		_, violations := b.summary()
-		is.Equal(len(violations), 0)
-	}
-	b := newBench(t)
-	b.history.instant("vm9")
-	b.setLeaving("a")
-	b.leaving["a"] = time.Now().Add(-drainBound - time.Second)
-	b.Began(b.a, run(b.sent("1", "GET", "/read/1", 0), b.a, -1))
-	_, violations := b.summary()
-	is.Equal(len(violations), 1)
+	}
+}
+
+const (
+	// coldTime and coldRate are what the soak's configuration says of its
+	// services; the sum over all VMs may exceed the rate by coldFactor and
+	// coldExtra in any second.
+	coldTime   = 3 * time.Second
+	coldRate   = 21
+	coldFactor = 1.5
+	coldExtra  = 5
+)
+
+func (c *checker) checkCold(s *wire.Server, run wire.Run) {
+	if s.ColdLeft() == 0 {
+		delete(c.cold, s)
+		return
+	}
+	list := append(c.cold[s], run.At)
+	for len(list) > 0 && run.At.Sub(list[0]) >= time.Second {
+		list = list[1:]
+	}
+	c.cold[s] = list
+	if limit := coldRate*coldFactor + coldExtra; float64(len(list)) > limit {
+		c.violate(ColdLimit, "target %s got %d requests in a second, the limit is %.0f", run.Server, len(list), limit)
+	}
+}
+
+// Granted implements wire.Observer.
+func (c *checker) Granted(s *wire.Server, from, to int, fence int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, text := range c.keys.granted(s, from, to, fence, c.history.lateGrants(time.Now())) {
+		c.violate(Token, "%s", text)
+	}
+}
+
+// outcome is what a caller saw. Status 0 stands for a connection that ended
+// without a whole answer.
+type outcome struct {
+	status        int
+	stamp, body   string
+	stray         int
+	timedOut      bool
+	stoppedByPlan time.Time
+}
+
+func (c *checker) finish(r *request, o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.counts[fmt.Sprint("status ", o.status)]++
+	switch {
+	case o.stray > 0:
+		c.violate(WholeAnswer, "%d bytes follow the answer to %s", o.stray, r.id)
+	case o.status >= 200 && o.status < 300:
+		if o.stamp == "" || !strings.HasSuffix(o.stamp, "."+r.id) || !strings.HasSuffix(o.body, " to "+r.id) {
+			c.violate(WholeAnswer, "%s got status %d, stamp %q and body %q", r.id, o.status, o.stamp, o.body)
+		}
+		r.served = true
+	case refusal(o.status) && o.stamp == "":
+		r.refused = true
+		if !r.idempotent && r.runs > 0 {
+			c.violate(TrueRefusal, "%s was refused with %d and had run", r.id, o.status)
+		}
+	case o.status == http.StatusNotFound:
+		c.checkNotFound(r, now)
+	case o.status == 0 && !o.timedOut && !o.stoppedByPlan.IsZero():
+		c.checkStop(r, o.stoppedByPlan, now)
+	}
+}
+
+func refusal(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// checkStop judges a connection that ended without an answer around a planned
+// stop of its VM.
+func (c *checker) checkStop(r *request, stop, now time.Time) {
+	inTime := now.Sub(stop) < grace+time.Second && stop.Sub(r.sent) > -3*time.Second
+	if !inTime || !c.history.allCalmBut(place(r.vm.name), stop, r.sent, now) {
+		return
+	}
+	if r.runs > 0 || now.Sub(r.sent) > lossBound*c.slack {
+		c.violate(PlannedStop, "%s sent to %s %v after its stop ended unanswered after %v, runs %d", r.id, r.vm.name, r.sent.Sub(stop), now.Sub(r.sent), r.runs)
+	}
+}
+
+// summary returns counts of what happened.
+func (c *checker) summary() (map[string]int, []Violation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]int, len(c.counts))
+	for k, n := range c.counts {
+		out[k] = n
+	}
+	return out, append([]Violation(nil), c.violations...)
 }
--- a/soak/cluster.go
+++ b/soak/cluster_test.go
@@ -128,7 +128,10 @@
 
 func (c *cluster) configure(step int) {
 	v := c.check.nextConfig(step)
-	c.store.Put("keyed.op", "config", v.document())
+	if err := c.store.Configure(v.document()); err != nil {
+		c.check.report(InForce, "%v", err)
+		return
+	}
 	c.check.acceptedConfig()
 }
 
--- a/soak/configs.go
+++ b/soak/configs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"celeryhook.example/celeryhook/standin/wire"
@@ -35,26 +34,31 @@
 	seen map[life]seen
 }
 
-// document returns the configuration in the store's form.
-func (c config) document() []byte {
-	routes := []string{
-		`["read","h","/read/","safe","4s","1s",2,2,"desk"]`,
-		`["book","h","/book/","unsafe","4s","1s",1,2,"desk"]`,
-		`["seat","h","/seat/","safe","4s","1s",2,2,"seats"]`,
-		`["hold","h","/hold/","unsafe","4s","1s",1,2,"seats"]`,
+// document returns what operators write.
+func (c config) document() wire.Config {
+	out := wire.Config{
+		Version: c.version, Timeout: 4 * time.Second,
+		Routes: []wire.Route{
+			{Name: "read", Prefix: "/read/", Service: "desk"},
+			{Name: "book", Prefix: "/book/", Unsafe: true, Service: "desk"},
+			{Name: "seat", Prefix: "/seat/", Service: "seats"},
+			{Name: "hold", Prefix: "/hold/", Unsafe: true, Service: "seats"},
+		},
 	}
 	for _, v := range []int{c.version, c.previous} {
 		if v > 0 {
-			routes = append(routes, fmt.Sprintf(`["v%d","h","/v/%d/","safe","4s","1s",2,2,"desk"]`, v, v))
+			out.Routes = append(out.Routes, wire.Route{Name: fmt.Sprint("v", v), Prefix: fmt.Sprintf("/v/%d/", v), Service: "desk"})
 		}
 	}
-	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency","priority","maxAttempts","service"],"rows":[%s]},
-"services":{"columns":["name","healthPath","maxConns","coldStart","coldPerS","sharded"],"rows":[["desk","/health",200,"%dms",%d,null],["seats","/health",200,"%dms",%d,true]]},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}}`,
-		c.version, strings.Join(routes, ","), coldTime.Milliseconds(), coldRate, coldTime.Milliseconds(), coldRate)
+	for _, name := range []string{"desk", "seats"} {
+		out.Services = append(out.Services, wire.ServiceOptions{
+			Name: name, MaxConns: 200, Cold: coldTime, ColdRate: coldRate, Sharded: name == "seats",
+		})
+	}
+	return out
 }
 
-// next notes and returns a new version, before it is written.
+// nextConfig notes and returns a new version, before it is written.
 func (c *checker) nextConfig(step int) config {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,6 +1,6 @@
-// Package soak runs gateway VMs as separate processes against the stand-ins of
-// the store and of targets, disturbs them from outside by a seeded schedule, and
-// checks while it runs what callers, targets and operators are promised.
+// Package soak tests gateway VMs as separate processes against the stand-ins of
+// the store and of targets: it disturbs them from outside by a seeded schedule,
+// and checks while it runs what callers, targets and operators are promised.
 //
 // Faults come through loopback proxies (delay, reset, one-way cuts, silence),
 // signals (stop, kill, pause, reload) and the stand-ins' fault switches. A
--- a/soak/events.go
+++ b/soak/events_test.go
@@ -140,9 +140,7 @@
 	case StoreLoses:
 		c.store.SetFaults(platform.Faults{LoseAnswers: 1 + int(e.For/time.Second)})
 	case StoreForget:
-		for _, t := range []string{"keyed.op", "keyed.servers"} {
-			c.store.Forget(t)
-		}
+		c.store.ForgetHistory()
 		return
 	}
 	defer c.history.begin(theStore)()
@@ -155,7 +153,7 @@
 	c.mu.Lock()
 	c.evacuations[name]++
 	c.mu.Unlock()
-	c.store.Put("keyed.op", "evacuate/"+name, []byte("{}"))
+	c.store.Evacuate(name, true)
 	c.check.setEvacuated(name, true)
 	time.Sleep(evacuateBound + e.For)
 	c.mu.Lock()
@@ -164,7 +162,7 @@
 	c.mu.Unlock()
 	if back {
 		c.check.setEvacuated(name, false)
-		c.store.Put("keyed.op", "evacuate/"+name, nil)
+		c.store.Evacuate(name, false)
 	}
 }
 
--- a/soak/gateway.go
+++ b/soak/gateway_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -54,14 +53,11 @@
 	}
 	g.callerLink.SetTarget(g.callers)
 	g.settings = filepath.Join(dir, g.name+".json")
-	b, err := json.Marshal(map[string]any{
-		"nodeName": g.name, "ip": ip, "zone": domain, "seeds": seeds, "contracts": []string{"platform"},
-		"listen":   map[string]string{"front": g.callers, "readyAddr": g.ready, "control": g.peers},
-		"bounds":   []string{fmt.Sprintf("grace=%ds", int(grace.Seconds())), "retryBudgetRatio=0.2", "budgetExtra=60"},
-		"platform": map[string]string{"address": g.storeLink.Address(), "form": "log"},
-	})
+	b, err := wire.VM{
+		Name: g.name, IP: ip, Zone: domain, Seeds: seeds, Callers: g.callers, Ready: g.ready, Peers: g.peers, Store: g.storeLink.Address(),
+	}.Settings()
 	if err != nil {
-		return nil, fmt.Errorf("soak: settings of %s: %w", g.name, err)
+		return nil, err
 	}
 	if err := os.WriteFile(g.settings, b, 0o600); err != nil {
 		return nil, fmt.Errorf("soak: settings of %s: %w", g.name, err)
@@ -190,7 +186,7 @@
 
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := client.Get("http://" + g.ready + "/api/ready")
+	res, err := client.Get("http://" + g.ready + wire.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/soak/history.go
+++ b/soak/history_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"celeryhook.example/celeryhook/standin/wire"
 )
 
 // The bounds of the deployments, from the users' site files.
@@ -21,7 +24,7 @@
 	// nothing new.
 	evacuateBound = 5 * time.Second
 	// grace is the time between SIGTERM and SIGKILL.
-	grace = 6 * time.Second
+	grace = wire.Grace
 	// lossBound is how long a process may have had a request that ends
 	// unanswered by a planned stop.
 	lossBound = 200 * time.Millisecond
@@ -81,21 +84,29 @@
 // calm reports whether places were undisturbed from contact before a time until
 // another.
 func (h *history) calm(from, to time.Time, places ...place) bool {
+	return h.undisturbed(from, to, func(d disturbance) bool {
+		return d.place == thisMachine || slices.Contains(places, d.place)
+	})
+}
+
+// allCalmBut is calm for every place, without the planned stop of a VM itself.
+func (h *history) allCalmBut(p place, stop, from, to time.Time) bool {
+	return h.undisturbed(from, to, func(d disturbance) bool {
+		return d.place != p || !d.from.Equal(stop)
+	})
+}
+
+// undisturbed reports whether no disturbance that counts lies between contact
+// before a time and another.
+func (h *history) undisturbed(from, to time.Time, counts func(disturbance) bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	from = from.Add(-contact)
 	for _, d := range h.list {
-		if d.from.After(to) || (!d.to.IsZero() && d.to.Before(from)) {
-			continue
-		}
-		if d.place == thisMachine {
+		over := !d.to.IsZero() && d.to.Before(from)
+		if !over && !d.from.After(to) && counts(d) {
 			return false
 		}
-		for _, p := range places {
-			if p == d.place {
-				return false
-			}
-		}
 	}
 	return true
 }
@@ -132,19 +143,3 @@
 		last = now
 	}
 }
-
-// allCalmBut is calm for every place, without the planned stop of a VM itself.
-func (h *history) allCalmBut(p place, stop, from, to time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	from = from.Add(-contact)
-	for _, d := range h.list {
-		if d.place == p && d.from.Equal(stop) {
-			continue
-		}
-		if !d.from.After(to) && (d.to.IsZero() || !d.to.Before(from)) {
-			return false
-		}
-	}
-	return true
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"flag"
+	"math/rand/v2"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,13 +17,18 @@
 	"github.com/matryer/is"
 )
 
-const (
-	// smokeSeed is any seed; its schedule has stops, kills and pauses.
-	smokeSeed   = 7
-	smokeLength = 25 * time.Second
-	// smokeSlack allows for a machine on which other tests run. Promises without
+var (
+	// The default schedule is any one; it has stops, kills and pauses.
+	firstSeed = flag.Uint64("soak.seed", 7, "seed of the first schedule; 0 picks a new one")
+	seeds     = flag.Int("soak.seeds", 1, "schedules to play, with consecutive seeds")
+	minutes   = flag.Float64("soak.minutes", 25.0/60, "length of each schedule")
+	numVMs    = flag.Int("soak.vms", testSize.VMs, "gateway VMs, each a process")
+	targets   = flag.Int("soak.targets", testSize.Targets, "targets, at least 2")
+	domains   = flag.Int("soak.domains", testSize.Domains, "failure domains")
+	logDir    = flag.String("soak.dir", "", "folder that keeps settings and logs")
+	// The default allows for a machine on which other tests run. Promises without
 	// a bound in time are not affected.
-	smokeSlack = 4
+	slack = flag.Int("soak.slack", 4, "factor for bounds in time, for busy machines")
 )
 
 func build(t *testing.T) string {
@@ -31,22 +40,34 @@
 	return program
 }
 
-func play(t *testing.T, seed uint64, length time.Duration) Report {
-	r, err := Run(context.Background(), Options{
-		Seed: seed, Length: length, Size: testSize, Program: build(t), Dir: t.TempDir(), Slack: smokeSlack,
+// play plays a schedule and writes its report to the test's log.
+func play(ctx context.Context, t *testing.T, program string, seed uint64) Report {
+	dir := t.TempDir()
+	if *logDir != "" {
+		var err error
+		dir, err = NewDir(*logDir, seed)
+		is.New(t).NoErr(err)
+	}
+	r, err := Run(ctx, Options{
+		Seed: seed, Length: time.Duration(*minutes * float64(time.Minute)), Program: program, Dir: dir, Slack: *slack,
+		Size: Size{VMs: *numVMs, Targets: *targets, Domains: *domains},
 	})
 	is.New(t).NoErr(err)
-	if len(r.Violations) > 0 {
-		var b strings.Builder
-		r.Write(&b)
-		t.Error(b.String())
-		keepLogs(t, r.Dir)
+	var b strings.Builder
+	r.Write(&b)
+	if len(r.Violations) == 0 {
+		t.Log(b.String())
+		return r
+	}
+	t.Error(b.String())
+	if *logDir == "" {
+		showLogs(t, dir)
 	}
 	return r
 }
 
-// keepLogs shows the ends of the processes' logs, as the folder is removed.
-func keepLogs(t *testing.T, dir string) {
+// showLogs shows the ends of the processes' logs, as the folder is removed.
+func showLogs(t *testing.T, dir string) {
 	const tail = 4000
 	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
 	for _, f := range files {
@@ -59,11 +80,23 @@
 }
 
 // Guards against broken promises under overlapping faults, with real processes.
+// docs/PROOFS.md says how to play many seeds. An interrupt ends the processes.
 func TestSoak(t *testing.T) {
-	is := is.New(t)
-	r := play(t, smokeSeed, smokeLength)
-	is.True(r.Counts["runs"] > 100)
-	is.True(r.Counts["status 200"] > 100)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	program := build(t)
+	first := *firstSeed
+	if first == 0 {
+		first = uint64(rand.Uint32())
+	}
+	for seed := first; seed < first+uint64(*seeds) && ctx.Err() == nil; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			is := is.New(t)
+			r := play(ctx, t, program, seed)
+			is.True(r.Counts["runs"] > 100)
+			is.True(r.Counts["status 200"] > 100)
+		})
+	}
 }
 
 // Guards against two processes of one VM, of which the second would fail and the
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -99,16 +99,16 @@
 	entry, err := json.Marshal(map[string]any{
 		"address": s.Advertise, "born": s.born,
 		"info":   map[string]any{"service": s.Service, "version": "v1", "zone": s.Zone, "slots": s.Slots},
-		"status": map[string]any{"state": state, "sequence": s.sequence, "coldLeft": fmt.Sprintf("%dms", s.ColdLeft().Milliseconds())},
+		"status": map[string]any{"state": state, "sequence": s.sequence, "coldLeft": milliseconds(s.ColdLeft())},
 	})
 	s.mu.Unlock()
 	if err == nil {
-		s.store.Put("keyed.servers", s.ID, entry)
+		s.store.Put(topicServers, s.ID, entry)
 	}
 }
 
 // Remove ends the server's registration.
-func (s *Server) Remove() { s.store.Put("keyed.servers", s.ID, nil) }
+func (s *Server) Remove() { s.store.Put(topicServers, s.ID, nil) }
 
 // Stop ends the server at once.
 func (s *Server) Stop() {
@@ -168,8 +168,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expect := r.Header.Get("Celeryhook-Expect-Instance"); expect != "" && expect != s.ID {
-		w.Header().Set("Celeryhook-Instance-Id", s.ID)
+	if expect := r.Header.Get(headerExpect); expect != "" && expect != s.ID {
+		w.Header().Set(headerInstance, s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -179,9 +179,9 @@
 	case r.Method == http.MethodPost && r.URL.Path == "/api/release":
 		s.serveOrder(w, r, s.release)
 	case r.URL.Path == "/health":
-		w.Header().Set("Celeryhook-Instance-Id", s.ID)
+		w.Header().Set(headerInstance, s.ID)
 		if left := s.ColdLeft(); left > 0 {
-			w.Header().Set("Celeryhook-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+			w.Header().Set(headerCold, strconv.FormatInt(left.Milliseconds(), 10))
 		}
 		s.load(w.Header())
 	default:
@@ -241,7 +241,7 @@
 
 // Grant sends a server an order for a range of keys, as a VM does.
 func Grant(address string, from, to int, fence int64, hold time.Duration) error {
-	b, err := json.Marshal(keyOrder{From: from, To: to, Fence: fence, HoldTime: fmt.Sprintf("%dms", hold.Milliseconds())})
+	b, err := json.Marshal(keyOrder{From: from, To: to, Fence: fence, HoldTime: milliseconds(hold)})
 	if err != nil {
 		return fmt.Errorf("wire: grant: %w", err)
 	}
@@ -278,21 +278,21 @@
 func (s *Server) load(h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h.Set("Celeryhook-Server-Load", fmt.Sprintf("%d,%d,%d,100", min(s.running, s.Slots), max(0, s.running-s.Slots), s.Slots))
+	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,100", min(s.running, s.Slots), max(0, s.running-s.Slots), s.Slots))
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Celeryhook-Request-Id")
-	w.Header().Set("Celeryhook-Request-Id", id)
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
 	body, _ := io.ReadAll(r.Body) // a cut body is recorded as far as it came
 	s.mu.Lock()
 	key := -1
 	if s.Sharded {
 		var err error
-		key, err = strconv.Atoi(r.Header.Get("Celeryhook-Shard-Key"))
+		key, err = strconv.Atoi(r.Header.Get(headerKey))
 		if err != nil || key < 0 || key >= keys || !time.Now().Before(s.until[key]) {
 			s.mu.Unlock()
-			w.Header().Set("Celeryhook-Not-Executed", "1")
+			w.Header().Set(headerNotRun, "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -319,7 +319,7 @@
 	}
 	s.mu.Unlock()
 	answer := []byte("answer of " + s.ID + " to " + id)
-	w.Header().Set("Celeryhook-Server-Stamp", s.ID+"."+id)
+	w.Header().Set(headerStamp, s.ID+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	switch x := rand.Float64(); {
 	case x < f.Drop:
