balance: expected latency for each route instead of each service

Cause: the balancer kept one mean duration for a service.

Change: the work of a request is estimated for each route, from its latency objective until it has been measured, and the queue ahead by the mean over the service. A target keeps a pace relative to that. The load of keys is counted in work, so that a key with long requests weighs more than one with short ones.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -48,8 +48,8 @@
 	members      *roster.View
 	targets      map[core.Target]*target
 	retryBudgets map[core.Service]*retryBudget
-	serviceTimes map[core.Service]time.Duration
-	unitCounts   map[core.Service]map[int]int
+	work         workEstimates
+	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
 }
 
@@ -60,8 +60,8 @@
 		view: &discovery.View{}, owners: &ownership.View{},
 		targets:      make(map[core.Target]*target),
 		retryBudgets: make(map[core.Service]*retryBudget),
-		serviceTimes: make(map[core.Service]time.Duration),
-		unitCounts:   make(map[core.Service]map[int]int),
+		work:         newWorkEstimates(),
+		unitLoads:    make(map[core.Service]map[int]float64),
 	}
 }
 
@@ -155,7 +155,7 @@
 	if !req.Counted {
 		b.retryBudget(req.Service).deposit(b.limits, b.memberCount())
 		if service.Sharded {
-			b.countRequest(req.Service, req.Key)
+			b.countRequest(req)
 		}
 	}
 	t, d := b.choose(now, req, service)
@@ -163,7 +163,7 @@
 		return d
 	}
 	remaining := req.Deadline.Sub(now)
-	expected := t.expectedLatency(now, b.meanServiceTime(req.Service))
+	expected := t.expectedLatency(now, b.workOf(req))
 	if expected > remaining {
 		d = b.rejectOverloaded(now, t, "deadline")
 		d.ExpectedLatency = expected
@@ -236,7 +236,7 @@
 // cost, or nil, and one that is full, if any was found.
 func (b *Balancer) cheapest(now core.Instant, req SelectTarget, s routing.Service, list []*discovery.Target) (best, full *target) {
 	var bestCost time.Duration
-	serviceTime := b.meanServiceTime(req.Service)
+	w := b.workOf(req)
 	seen := 0
 	for _, i := range b.candidateOrder(list) {
 		t := b.targets[list[i].ID]
@@ -250,7 +250,7 @@
 			full = t
 			continue
 		}
-		if c := t.cost(now, serviceTime, b.domain); best == nil || c < bestCost {
+		if c := t.cost(now, w, b.domain); best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
 		if seen++; seen >= sampleSize {
@@ -329,16 +329,12 @@
 
 func (b *Balancer) retryAfter(now core.Instant, t *target) time.Duration {
 	over := max(0, t.occupancy(now)-t.slots()) / t.slots() / 2
-	d := time.Duration(float64(t.serviceTimeOr(b.meanServiceTime(t.Service))) * over)
+	d := time.Duration(float64(b.work.mean(t.Service)) * t.paceOrUsual() * over)
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-// meanServiceTime returns the mean service time over all targets of a service.
-func (b *Balancer) meanServiceTime(s core.Service) time.Duration {
-	if d := b.serviceTimes[s]; d > 0 {
-		return d
-	}
-	return defaultServiceTime
+func (b *Balancer) workOf(req SelectTarget) work {
+	return b.work.of(workload{service: req.Service, route: req.Route}, req.Objective)
 }
 
 func (b *Balancer) attemptDone(now core.Instant, m AttemptDone) []Output {
@@ -350,8 +346,7 @@
 	t.recordLoad(now, m.Load)
 	switch m.Result {
 	case Succeeded:
-		t.recordServiceTime(now, m.Elapsed)
-		b.serviceTimes[m.Service] = b.meanServiceTime(m.Service) + (t.serviceTime-b.meanServiceTime(m.Service))/serviceTimeSamples
+		b.recordDuration(now, t, m)
 		t.recordOutcome(now, true)
 		return nil
 	case Cancelled, NotOwner:
@@ -371,6 +366,12 @@
 	return nil
 }
 
+// recordDuration updates the estimates of the target and of the request's route.
+func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
+	w := workload{service: m.Service, route: m.Route}
+	b.work.observe(w, m.Objective, t.recordDuration(now, m.Elapsed, b.work.of(w, m.Objective)))
+}
+
 func (b *Balancer) event(now core.Instant, t *target, text string) Event {
 	return Event{Text: text, Fields: []any{
 		"target", t.ID, "service", t.Service, "address", t.Address, "failure_rate", t.failureRate,
--- a/internal/balance/load_report.go
+++ b/internal/balance/load_report.go
@@ -7,13 +7,16 @@
 	"celeryhook.example/celeryhook/internal/ownership"
 )
 
-func (b *Balancer) countRequest(s core.Service, key uint16) {
-	units := b.unitCounts[s]
+// countRequest adds a request to the load of its key. A request counts by its work
+// relative to the mean of the service.
+func (b *Balancer) countRequest(req SelectTarget) {
+	units := b.unitLoads[req.Service]
 	if units == nil {
-		units = make(map[int]int)
-		b.unitCounts[s] = units
+		units = make(map[int]float64)
+		b.unitLoads[req.Service] = units
 	}
-	units[ownership.Unit(key)]++
+	w := b.workOf(req)
+	units[ownership.Unit(req.Key)] += float64(w.request) / float64(w.queued)
 }
 
 // loadReport returns the request rates since the last load report, and the
@@ -25,10 +28,10 @@
 	}
 	elapsed := now.Sub(b.lastReport).Seconds()
 	b.lastReport = now
-	for s, units := range b.unitCounts {
+	for s, units := range b.unitLoads {
 		rates := make(map[int]float64, len(units))
 		for u, n := range units {
-			rates[u] = float64(n) / elapsed
+			rates[u] = n / elapsed
 		}
 		load.UnitLoads[s] = rates
 		clear(units)
@@ -37,8 +40,8 @@
 		if !b.services[t.Service].Sharded {
 			continue
 		}
-		if t.serviceTime > 0 {
-			load.ServiceTime[id] = t.adjustedServiceTime()
+		if t.pace > 0 {
+			load.ServiceTime[id] = t.meanDuration(b.work.mean(t.Service))
 		}
 		if t.unreachable || t.replaced {
 			load.Unreachable = append(load.Unreachable, id)
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -16,6 +16,11 @@
 // SelectTarget requests a target for one attempt. Reply must be buffered.
 type SelectTarget struct {
 	Service core.Service
+	// Route is the name of the request's route. The requests of a route take about
+	// the same time.
+	Route string
+	// Objective is the latency objective of the route, or 0.
+	Objective time.Duration
 	// Key is set for sharded services.
 	Key uint16
 	// Priority is the priority of the route; 0 is the most urgent.
@@ -124,9 +129,12 @@
 // AttemptDone is the result of an attempt that was sent.
 type AttemptDone struct {
 	Service core.Service
-	Target  core.Target
-	Result  Result
-	Elapsed time.Duration
+	// Route and Objective are those of the SelectTarget.
+	Route     string
+	Objective time.Duration
+	Target    core.Target
+	Result    Result
+	Elapsed   time.Duration
 	// Load is the load that the target reported, or nil.
 	Load *TargetLoad
 }
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	// defaultServiceTime is used until the service has a measured time.
-	defaultServiceTime = 80 * time.Millisecond
-	// serviceTimeSamples is the weight of a new sample, as 1/n.
-	serviceTimeSamples = 12
+	// paceSamples is the weight of a new sample in a target's pace, as 1/n.
+	paceSamples = 12
 	// reportedOthersHalfLife is the half-life of the number of other VMs' requests
 	// in a load report: about the duration of a request.
 	reportedOthersHalfLife = 250 * time.Millisecond
@@ -50,9 +48,9 @@
 	rank int
 	// inFlight is the number of this VM's requests at the target.
 	inFlight int
-	// serviceTime is the mean time of a request without queueing and slowdown; 0
-	// is unknown.
-	serviceTime time.Duration
+	// pace is the mean ratio of the time that requests take, without queueing and
+	// the reported slowdown, to the work of their routes; 0 is unknown.
+	pace float64
 	// load is the last load report.
 	load *TargetLoad
 	// reportedOthers is how many requests in the last report were other VMs'.
@@ -105,11 +103,11 @@
 
 func (t *target) slots() float64 { return float64(max(t.Slots, 1)) }
 
-func (t *target) serviceTimeOr(meanServiceTime time.Duration) time.Duration {
-	if t.serviceTime > 0 {
-		return t.serviceTime
+func (t *target) paceOrUsual() float64 {
+	if t.pace > 0 {
+		return t.pace
 	}
-	return meanServiceTime
+	return 1
 }
 
 const (
@@ -125,29 +123,35 @@
 	crossDomainFactor = 1.15
 )
 
+// queueLength estimates how many requests per slot are ahead of one that is sent
+// now.
+func (t *target) queueLength(now core.Instant) float64 {
+	return max(0, t.occupancy(now)+1-t.slots()) / t.slots()
+}
+
 // expectedLatency estimates the time until the response to a request that is
 // sent now.
-func (t *target) expectedLatency(now core.Instant, meanServiceTime time.Duration) time.Duration {
-	occupancy, slots := t.occupancy(now), t.slots()
-	queue := max(0, occupancy+1-slots) / slots
-	load := min(1, (occupancy+1)/slots)
-	factor := t.slowdown(now) * (1 + queue + nearFullSlowdown*load*load)
-	return time.Duration(float64(t.serviceTimeOr(meanServiceTime)) * factor)
+func (t *target) expectedLatency(now core.Instant, w work) time.Duration {
+	load := min(1, (t.occupancy(now)+1)/t.slots())
+	usual := float64(w.request)*(1+nearFullSlowdown*load*load) + float64(w.queued)*t.queueLength(now)
+	return time.Duration(usual * t.slowdown(now) * t.paceOrUsual())
 }
 
-// adjustedServiceTime returns the mean time of a request without queueing, at
-// this target's mean slowdown. It is 0 until a request was measured.
-func (t *target) adjustedServiceTime() time.Duration {
-	if t.meanSlowdown == 0 {
-		return t.serviceTime
+// meanDuration returns the mean time of a request with the given work, without
+// queueing and at this target's mean slowdown. It is 0 until a request was
+// measured.
+func (t *target) meanDuration(usual time.Duration) time.Duration {
+	d := float64(usual) * t.pace
+	if t.meanSlowdown > 0 {
+		d *= t.meanSlowdown
 	}
-	return time.Duration(float64(t.serviceTime) * t.meanSlowdown)
+	return time.Duration(d)
 }
 
 // cost returns the expected latency with penalties for failures and for another
 // failure domain. The target with the lowest cost is chosen.
-func (t *target) cost(now core.Instant, meanServiceTime time.Duration, domain core.FailureDomain) time.Duration {
-	c := float64(t.expectedLatency(now, meanServiceTime)) * (1 + failurePenalty*t.failureRate)
+func (t *target) cost(now core.Instant, w work, domain core.FailureDomain) time.Duration {
+	c := float64(t.expectedLatency(now, w)) * (1 + failurePenalty*t.failureRate)
 	if t.FailureDomain != domain {
 		c = c*crossDomainFactor + float64(crossDomainCost)
 	}
@@ -176,16 +180,17 @@
 	}
 }
 
-// recordServiceTime updates the service time from the duration of an attempt.
-// The estimated queueing and slowdown are divided out.
-func (t *target) recordServiceTime(now core.Instant, elapsed time.Duration) {
-	queue := max(0, t.occupancy(now)+1-t.slots()) / t.slots()
-	sample := time.Duration(float64(elapsed) / (t.slowdown(now) * (1 + queue)))
-	if t.serviceTime == 0 {
-		t.serviceTime = sample
-		return
+// recordDuration updates the pace from the duration of an attempt. It returns the
+// duration without the estimated queueing and slowdown: a sample of the route's
+// work.
+func (t *target) recordDuration(now core.Instant, elapsed time.Duration, w work) time.Duration {
+	usual := float64(w.request) + float64(w.queued)*t.queueLength(now)
+	ratio := float64(elapsed) / (t.slowdown(now) * usual)
+	if t.pace == 0 {
+		t.pace = 1
 	}
-	t.serviceTime += (sample - t.serviceTime) / serviceTimeSamples
+	t.pace += (ratio - t.pace) / paceSamples
+	return time.Duration(float64(w.request) * ratio)
 }
 
 // recordOutcome updates the failure rate by the outcome of an attempt and
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -134,8 +134,8 @@
 	counted := r.sends > 0
 	for {
 		d, err := r.Balancer.SelectTarget(r.ctx, balance.SelectTarget{
-			Service: r.service, Key: r.key, Priority: r.rule.Priority, Deadline: r.deadline,
-			Tried: tried, Kind: kind, Counted: counted, Reply: reply,
+			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective, Key: r.key, Priority: r.rule.Priority,
+			Deadline: r.deadline, Tried: tried, Kind: kind, Counted: counted, Reply: reply,
 		})
 		counted = true
 		if err != nil {
@@ -174,7 +174,10 @@
 		a := attempt{target: d.Target.ID}
 		a.response, a.err = r.Upstream.Do(ctx, out)
 		a.result = r.classify(ctx, &a)
-		done := balance.AttemptDone{Service: r.service, Target: a.target, Result: a.result, Elapsed: r.Clock().Sub(startedAt)}
+		done := balance.AttemptDone{
+			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective,
+			Target: a.target, Result: a.result, Elapsed: r.Clock().Sub(startedAt),
+		}
 		if a.response != nil {
 			done.Load = r.Headers.ParseLoad(a.response.Header)
 		}
