upstream: bound heads, framing and the memory of bodies

Cause: http.ReadResponse reads a header of any length, and a body was read up to 16 MiB for each exchange with nothing that bounds all of them together.

Change: a connection gives at most 64 KiB for a head and 16 MiB plus an eighth for a body with its framing; bodies over 256 KiB share 48 MiB. A response over a limit is incomplete: the connection is closed and the target's failure is counted.

--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// endless writes the chunk to the connection until its peer closes it.
+func endless(c net.Conn, chunk string) {
+	for {
+		if _, err := io.WriteString(c, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a target whose bytes never end: they are read into memory until
+// the process is killed, or keep a request until its deadline. Each place of a
+// response where bytes may go on without end is covered.
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nStamp: s\r\n"
+	filler := strings.Repeat("x", 16<<10)
+	for name, s := range map[string]struct{ start, repeat string }{
+		"status line":             {"HTTP/1.1 200 ", filler},
+		"no HTTP":                 {"", filler},
+		"header line":             {head + "A: ", filler},
+		"header lines":            {head, "A: " + filler[:1000] + "\r\n"},
+		"informational responses": {"", "HTTP/1.1 103 Early\r\nA: " + filler[:1000] + "\r\n\r\n"},
+		"body until close":        {head + "Id: 1\r\n\r\n", filler},
+		"declared body":           {head + "Id: 1\r\nContent-Length: 99999999999\r\n\r\n", filler},
+		"chunked body":            {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + filler + "\r\n"},
+		"chunk size":              {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+		"chunk extension":         {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", filler},
+		"chunk extensions":        {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + filler[:2000] + "\r\nx\r\n"},
+		"trailer":                 {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + filler[:1000] + "\r\n"},
+		"trailer line":            {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ", filler},
+		"responses to others":     {"", head + "Id: 2\r\nContent-Length: 1000\r\n\r\n" + filler[:1000]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
+				_, _ = io.WriteString(c, s.start)
+				endless(c, s.repeat)
+				close(closed)
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			resp, err := send(newClient(), address, "1")
+			runtime.ReadMemStats(&after)
+			is.True(resp == nil)
+			is.True(errors.Is(err, ErrIncomplete)) // before the deadline
+			is.True(after.TotalAlloc-before.TotalAlloc < 8*maxResponseBytes)
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
+
+// Guards against large responses that together exceed the memory of a VM: a
+// response that has no room is cut off, and gives its room back.
+func TestLargeResponsesShareMemory(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 3*smallBodyBytes)
+	address, _ := startTarget(t, func(_ int, id string, c net.Conn) { _, _ = io.WriteString(c, response(id, body)) })
+	c := newClient()
+	c.memory.free.Store(4 * smallBodyBytes)
+	for range 5 {
+		resp, err := send(c, address, "1")
+		is.NoErr(err)
+		is.Equal(len(resp.Body), len(body))
+	}
+	c.memory.free.Store(smallBodyBytes)
+	_, err := send(c, address, "1")
+	is.True(errors.Is(err, ErrIncomplete))
+	is.Equal(c.memory.free.Load(), int64(smallBodyBytes))
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -60,23 +59,23 @@
 	ErrConnectionLost = errors.New("upstream: connection broken")
 )
 
-const (
-	// maxResponseBytes bounds a response's body, which is read into memory so that
-	// a truncated response is never forwarded to the caller as complete.
-	maxResponseBytes = 16 << 20
-	// maxMismatches is how many responses to other requests are skipped on a
-	// connection before it is closed.
-	maxMismatches = 3
-)
+// maxMismatches is how many responses to other requests are skipped on a
+// connection before it is closed.
+const maxMismatches = 3
 
 // Client exchanges requests with targets.
 type Client struct {
 	pool    *Pool
 	headers *protocol.Headers
+	memory  memory
 }
 
 // NewClient returns a client that uses the pool.
-func NewClient(p *Pool, h *protocol.Headers) *Client { return &Client{pool: p, headers: h} }
+func NewClient(p *Pool, h *protocol.Headers) *Client {
+	c := &Client{pool: p, headers: h}
+	c.memory.free.Store(bodyMemory)
+	return c
+}
 
 // Do sends a request and reads its response. When ctx ends, it closes the
 // connection, on which most targets stop their work. An error that wraps
@@ -113,6 +112,7 @@
 		}
 		return nil, false, fmt.Errorf("%w: write: %w", ErrConnectionLost, err)
 	}
+	cn.limit.remaining = maxHeadBytes
 	for range maxMismatches {
 		resp, reusable, err = c.read(cn, r)
 		if err != nil || resp != nil {
@@ -135,14 +135,13 @@
 	if res.StatusCode < http.StatusOK {
 		return nil, false, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	_ = res.Body.Close()
+	cn.limit.remaining = maxResponseBytes + maxFramingBytes
+	body, err := c.memory.readBody(res.Body)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: body: %w", ErrIncomplete, err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, false, fmt.Errorf("%w: body over %d bytes", ErrIncomplete, maxResponseBytes)
-	}
+	_ = res.Body.Close()
+	cn.limit.remaining = maxHeadBytes
 	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	id := res.Header.Get(c.headers.RequestID)
 	if id == "" && r.ID != "" && res.StatusCode < http.StatusMultipleChoices {
@@ -206,6 +205,7 @@
 	if _, err := fmt.Fprintf(cn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, address); err != nil {
 		return nil, fmt.Errorf("upstream: health: %w", err)
 	}
+	cn.limit.remaining = maxHeadBytes
 	resp, _, err := c.read(cn, &Request{Method: http.MethodGet})
 	if err == nil && resp == nil {
 		err = fmt.Errorf("%w: health", ErrIncomplete)
--- /dev/null
+++ b/internal/upstream/limit.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+)
+
+const (
+	// maxResponseBytes bounds a response's body, which is read into memory so that
+	// a truncated response is never forwarded to the caller as complete.
+	maxResponseBytes = 16 << 20
+	// maxHeadBytes bounds the status line and header of a response, informational
+	// responses included.
+	maxHeadBytes = 64 << 10
+	// maxFramingBytes bounds chunk sizes, chunk extensions and trailers in
+	// addition to the body: a response in chunks of 64 bytes still fits.
+	maxFramingBytes = maxHeadBytes + maxResponseBytes/8
+	// smallBodyBytes is the part of a body that isn't counted against the memory
+	// that large bodies share.
+	smallBodyBytes = 256 << 10
+	// bodyMemory is the memory that the large bodies of all exchanges share.
+	bodyMemory = 48 << 20
+)
+
+// errTooLong is returned by a read beyond the limit of a connection.
+var errTooLong = errors.New("upstream: response too long")
+
+// limitedConn is a connection from which a limited number of bytes is read.
+type limitedConn struct {
+	net.Conn
+	remaining int64
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.remaining <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.remaining)])
+	c.remaining -= int64(n)
+	return n, err
+}
+
+// memory is the memory that is left for large bodies. It is safe for concurrent
+// use.
+type memory struct{ free atomic.Int64 }
+
+// take reserves n bytes and reports whether they were free.
+func (m *memory) take(n int64) bool {
+	if m.free.Add(-n) >= 0 {
+		return true
+	}
+	m.free.Add(n)
+	return false
+}
+
+// readBody reads a complete body. A body over smallBodyBytes needs room in the
+// shared memory while it is read.
+func (m *memory) readBody(body io.Reader) ([]byte, error) {
+	var b bytes.Buffer
+	taken := int64(0)
+	defer func() { m.free.Add(taken) }()
+	for {
+		n, err := io.CopyN(&b, body, smallBodyBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			return b.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case b.Len() > maxResponseBytes:
+			return nil, fmt.Errorf("%w: over %d bytes", errTooLong, maxResponseBytes)
+		case !m.take(n):
+			return nil, fmt.Errorf("%w: %d bytes are more than the memory left", errTooLong, b.Len())
+		}
+		taken += n
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,6 +47,7 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	limit       *limitedConn
 	key         string
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -105,7 +106,8 @@
 	if t, ok := c.(*net.TCPConn); ok {
 		setUserTimeout(t)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), key: key, idleTimeout: defaultIdleTimeout}, nil
+	limit := &limitedConn{Conn: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, key: key, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // setUserTimeout makes the kernel end a connection whose peer acknowledges
