balance, ingress: loads last as long as their requests; a missing grant is waited for

Cause: the number of other VMs' requests in a load report halved every 250 ms whatever the requests take. Where a run lasts 340 to 850 ms, a full target looked empty before any of its requests had ended. And a request that was rejected because its grant was missing was sent again within a millisecond, up to four times, at the cost of the retry budget, while the grant is renewed.

Change: the half-life is the mean duration of a request at the target, 250 ms at least; the mean of the reports fades eight times as slowly. An attempt after a missing grant waits 40 ms.

Measured: TestReportOutlivesItsRequests and TestMissingGrantIsWaitedFor fail without the change.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -422,3 +422,18 @@
 	load := out[0].(LoadReportReply).Load.UnitLoads["s"]
 	is.True(load[ownership.Unit(long)] > 5*load[ownership.Unit(short)])
 }
+
+// Guards against load reports that are forgotten before the requests which they
+// count have ended. Many VMs then send to a target that is full, each in the
+// belief that the others' requests are gone.
+func TestReportOutlivesItsRequests(t *testing.T) {
+	is := is.New(t)
+	b := setup{targets: []discovery.Target{warmTarget("a")}}.fleet()[0]
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		b.Step(now, AttemptDone{Service: "s", Target: "a", Result: Succeeded, Elapsed: 850 * time.Millisecond, Load: &TargetLoad{Slots: 4, Slowdown: 1}})
+	}
+	b.Step(now, AttemptDone{Service: "s", Target: "a", Result: Cancelled, Load: &TargetLoad{Running: 4, Waiting: 6, Slots: 4, Slowdown: 1}})
+	is.True(b.targets["a"].occupancy(now.Add(300*time.Millisecond)) > 7)
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -370,6 +370,7 @@
 func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
 	w := workload{service: m.Service, route: m.Route}
 	b.work.observe(w, m.Objective, t.recordDuration(now, m.Elapsed, b.work.of(w, m.Objective)))
+	t.duration = t.meanDuration(b.work.mean(t.Service))
 }
 
 func (b *Balancer) event(now core.Instant, t *target, text string) Event {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -11,12 +11,13 @@
 const (
 	// paceSamples is the weight of a new sample in a target's pace, as 1/n.
 	paceSamples = 12
-	// reportedOthersHalfLife is the half-life of the number of other VMs' requests
-	// in a load report: about the duration of a request.
-	reportedOthersHalfLife = 250 * time.Millisecond
-	// meanOthersHalfLife is the half-life of the mean number of other VMs'
-	// requests. It makes sure that a target that looks full is tried again.
-	meanOthersHalfLife = 2 * time.Second
+	// minReportHalfLife bounds the half-life of the number of other VMs' requests
+	// in a load report, which is about the duration of a request.
+	minReportHalfLife = 250 * time.Millisecond
+	// meanOthersFactor is the half-life of the mean number of other VMs' requests
+	// relative to that of a report. It makes sure that a target that looks full is
+	// tried again.
+	meanOthersFactor = 8
 	// meanOthersSamples is the weight of a new report in that mean, as 1/n.
 	meanOthersSamples = 8
 	// slowdownHalfLife is the half-life of the deviation of a reported slowdown
@@ -51,6 +52,9 @@
 	// pace is the mean ratio of the time that requests take, without queueing and
 	// the reported slowdown, to the work of their routes; 0 is unknown.
 	pace float64
+	// duration is the mean duration of the requests at the target, without
+	// queueing.
+	duration time.Duration
 	// load is the last load report.
 	load *TargetLoad
 	// reportedOthers is how many requests in the last report were other VMs'.
@@ -88,8 +92,9 @@
 		return float64(t.inFlight)
 	}
 	age := now.Sub(t.loadAt)
-	fresh := decay(age, reportedOthersHalfLife)
-	return float64(t.inFlight) + fresh*t.reportedOthers + (1-fresh)*decay(age, meanOthersHalfLife)*t.meanOthers
+	halfLife := max(minReportHalfLife, t.duration)
+	fresh := decay(age, halfLife)
+	return float64(t.inFlight) + fresh*t.reportedOthers + (1-fresh)*decay(age, meanOthersFactor*halfLife)*t.meanOthers
 }
 
 // slowdown estimates the ratio of the present processing time to the service's
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -22,6 +22,9 @@
 	maxOwnerWait      = 250 * time.Millisecond
 	ownerWaitDivisor  = 4
 	ownerPollInterval = 25 * time.Millisecond
+	// notOwnerDelay is the delay before an attempt after the owner has rejected one
+	// because its grant is missing: about the time in which the grant is renewed.
+	notOwnerDelay = 40 * time.Millisecond
 	// maxExtraAttempts bounds the attempts beyond the route's limit, which are
 	// made only while no attempt can have run.
 	maxExtraAttempts = 2
@@ -98,6 +101,9 @@
 			r.writeFailure(last)
 			return
 		}
+		if last.result == balance.NotOwner {
+			duty.Sleep(r.ctx, notOwnerDelay)
+		}
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -110,10 +110,14 @@
 	routes := &routing.ActiveTable{}
 	backend := []routing.Backend{{Service: "s", Weight: 1}}
 	routes.Apply(routing.Config{
-		Version: 1, Services: []routing.Service{{Name: "s"}}, Limits: routing.Limits{BodyBytes: 1 << 20},
+		Version: 1, Services: []routing.Service{{Name: "s"}, {Name: "sharded", Sharded: true}}, Limits: routing.Limits{BodyBytes: 1 << 20},
 		Routes: []routing.Route{
 			{Name: "safe", Host: "h", Prefix: "/safe/", Idempotent: true, Timeout: 2 * time.Second, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Timeout: 2 * time.Second, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
+			{
+				Name: "keyed", Host: "h", Prefix: "/keyed/", Idempotent: true, Timeout: 2 * time.Second, LatencyObjective: time.Second,
+				Backends: []routing.Backend{{Service: "sharded", Weight: 1}}, MaxAttempts: 2,
+			},
 		},
 	})
 	f.Server = NewServer(Options{
@@ -132,6 +136,7 @@
 	is.New(t).NoErr(err)
 	req.Host = "h"
 	req.Header.Set("Id", id)
+	req.Header.Set("Key", "7")
 	res, err := http.DefaultTransport.RoundTrip(req)
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = res.Body.Close() })
@@ -369,3 +374,18 @@
 		}
 	}
 }
+
+// Guards against spending all attempts and the retry budget on an owner within
+// the milliseconds in which its missing grant is renewed.
+func TestMissingGrantIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	started := time.Now()
+	f := newFixture(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		if time.Since(started) < notOwnerDelay {
+			return &upstream.Response{Status: http.StatusMisdirectedRequest, Header: http.Header{}, NotRun: true}, nil
+		}
+		return success(r), nil
+	})
+	is.Equal(f.send(t, http.MethodGet, "/keyed/", "1").StatusCode, http.StatusOK)
+	is.True(f.exchanger.count() <= 2)
+}
