--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -169,7 +169,7 @@
 // startAttempt sends the request to a target on a goroutine of its own.
 func (r *request) startAttempt(ctx context.Context, d balance.Decision, results chan<- attempt) {
 	out := &upstream.Request{
-		Address: d.Target.Address, Target: string(d.Target.ID), ID: r.id,
+		Address: d.Target.Address, Service: string(r.service), Target: string(d.Target.ID), ID: r.id,
 		Method: r.httpRequest.Method, URI: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: r.header, Body: r.body,
 		Timeout: r.deadline.Sub(r.Clock()), MaxIdle: d.Target.MaxConnections,
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,9 @@
 // Request is a request to one target.
 type Request struct {
 	Address string
+	// Service is the service of the target. Its targets are expected to treat idle
+	// connections alike.
+	Service string
 	// Target is the id of the process that must respond.
 	Target string
 	ID     string
@@ -82,7 +85,7 @@
 // ErrNotSent proves that the target received no byte of the request.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	key := poolKey(r.Address, r.Target)
-	cn := c.pool.get(key)
+	cn := c.pool.get(key, r.Service)
 	if cn == nil {
 		var err error
 		if cn, err = c.pool.dial(ctx, r.Address, key); err != nil {
@@ -93,7 +96,11 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	sentAt := time.Now()
 	resp, reusable, err := c.exchange(cn, r)
+	if errors.Is(err, ErrConnectionLost) && ctx.Err() == nil {
+		c.pool.lost(cn, r.Service, time.Since(sentAt))
+	}
 	if !stop() || err != nil || !reusable {
 		_ = cn.Close()
 	} else {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,14 @@
 	// acknowledges nothing.
 	userTimeout    = 3 * time.Second
 	readBufferSize = 8 << 10
+	// A connection that is lost within quickLoss of a request after it was idle
+	// for at least minSuspectIdle was probably closed by its target before. For
+	// distrustTime the connections to the same service are then used only if they
+	// were idle for less than a fraction of that time.
+	quickLoss       = 20 * time.Millisecond
+	minSuspectIdle  = 100 * time.Millisecond
+	distrustTime    = 3 * time.Second
+	distrustDivisor = 2
 )
 
 // Pool holds idle connections to targets. It is safe for concurrent use.
@@ -34,11 +42,20 @@
 	idle   map[string][]*conn
 	onOpen func()
 	closed bool
+	// distrusted bounds the idle time of the connections to services whose
+	// targets close idle connections without notice.
+	distrusted map[string]idleBound
+}
+
+// idleBound is a bound on idle times that applies for some time.
+type idleBound struct {
+	bound time.Duration
+	until time.Time
 }
 
 // NewPool returns an empty pool. It calls onOpen for each new connection.
 func NewPool(onOpen func()) *Pool {
-	p := &Pool{idle: make(map[string][]*conn), onOpen: onOpen}
+	p := &Pool{idle: make(map[string][]*conn), onOpen: onOpen, distrusted: make(map[string]idleBound)}
 	p.dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return p
 }
@@ -46,18 +63,22 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
-	limit       *limitedConn
-	key         string
+	reader *bufio.Reader
+	limit  *limitedConn
+	key    string
+	// reused is set once the connection was taken from the pool, after it was idle
+	// for idleFor.
+	reused      bool
+	idleFor     time.Duration
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
 func poolKey(address, target string) string { return address + " " + target }
 
-// get returns the most recently used idle connection that is still usable, or
-// nil.
-func (p *Pool) get(key string) *conn {
+// get returns the most recently used idle connection to a target that is still
+// usable, or nil.
+func (p *Pool) get(key, service string) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[key]
@@ -67,14 +88,34 @@
 		}
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
+		timeout := c.idleTimeout
+		if b, ok := p.distrusted[service]; ok && time.Now().Before(b.until) {
+			timeout = min(timeout, b.bound)
+		}
 		p.mu.Unlock()
-		if time.Since(c.idleSince) < c.idleTimeout && noPendingInput(c.Conn) {
+		if idleFor := time.Since(c.idleSince); idleFor < timeout && noPendingInput(c.Conn) {
+			c.reused, c.idleFor = true, idleFor
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// lost records that a connection was lost before any response, elapsed after the
+// request was sent.
+func (p *Pool) lost(c *conn, service string, elapsed time.Duration) {
+	if !c.reused || elapsed > quickLoss || c.idleFor < minSuspectIdle {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, bound := time.Now(), c.idleFor/distrustDivisor
+	if b, ok := p.distrusted[service]; ok && now.Before(b.until) {
+		bound = min(bound, b.bound)
+	}
+	p.distrusted[service] = idleBound{bound: bound, until: now.Add(distrustTime)}
+}
+
 // noPendingInput reports whether nothing has arrived on an idle connection:
 // neither its end nor unexpected data.
 func noPendingInput(c net.Conn) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -232,3 +233,43 @@
 	is.Equal(req.Header.Get("Expect"), "t")
 	is.Equal(string(body), "body")
 }
+
+// Guards against losing request after request to targets that forget idle
+// connections without closing them: after the first loss, connections to the
+// service that were idle as long are no longer used.
+func TestForgottenIdleConnections(t *testing.T) {
+	is := is.New(t)
+	const forgottenAfter = 150 * time.Millisecond
+	reset := func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	forgetful := func(t *testing.T) string {
+		lastUsed := make(map[net.Conn]time.Time)
+		var mu sync.Mutex
+		address, _ := startTarget(t, func(n int, id string, c net.Conn) {
+			mu.Lock()
+			defer mu.Unlock()
+			if n > 0 && time.Since(lastUsed[c]) > forgottenAfter {
+				reset(c)
+				return
+			}
+			lastUsed[c] = time.Now()
+			_, _ = io.WriteString(c, response(id, "x"))
+		})
+		return address
+	}
+	c := newClient()
+	a, b := forgetful(t), forgetful(t)
+	lost := 0
+	for range 5 {
+		for _, address := range []string{a, b} {
+			if _, err := send(c, address, "1"); err != nil {
+				is.True(errors.Is(err, ErrConnectionLost))
+				lost++
+			}
+		}
+		time.Sleep(forgottenAfter + 30*time.Millisecond)
+	}
+	is.Equal(lost, 1)
+}
