ownership: random arrivals move no keys

Cause: the leader levelled by the counts of one second.

Ruled out: hot keys (the moved units had 0.3 requests a second).

Change: the load of a unit is smoothed, a significant rise counts at once, and a target is relieved only if its load exceeds a fair share by more than random arrivals explain.

Measured: TestRandomArrivalsMoveNothing fails without the change.

--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,11 +21,21 @@
 	// baseUnitLoad is added to the measured load of every unit, in requests per
 	// second. It spreads idle units without outweighing measured ones.
 	baseUnitLoad = 0.003
+	// loadSmoothing is the weight of a new sum of reports in the load of a unit. At
+	// a large service a target gets a few requests per second, so that the counts
+	// of one second differ by half of the mean without any change of the load.
+	loadSmoothing = 0.2
+	// surgeDeviations is how many standard deviations of random arrivals the sum
+	// must exceed the load of a unit to replace it at once, as for a key that has
+	// become hot.
+	surgeDeviations = 3.0
 )
 
 // loadReports aggregates the load reports of the VMs.
 type loadReports struct {
 	byVM map[core.VM]receivedReport
+	// units holds the estimated requests per second of each unit.
+	units map[core.Service]*[Units]float64
 }
 
 type receivedReport struct {
@@ -32,7 +43,9 @@
 	receivedAt core.Instant
 }
 
-func newLoadReports() *loadReports { return &loadReports{byVM: make(map[core.VM]receivedReport)} }
+func newLoadReports() *loadReports {
+	return &loadReports{byVM: make(map[core.VM]receivedReport), units: make(map[core.Service]*[Units]float64)}
+}
 
 func (l *loadReports) add(now core.Instant, m LoadReport) {
 	l.byVM[m.VM] = receivedReport{LoadReport: m, receivedAt: now}
@@ -43,22 +56,50 @@
 	}
 }
 
-// unitLoads returns the requests per second of each unit of a service, and the
-// measured total.
-func (l *loadReports) unitLoads(s core.Service) (*[Units]float64, float64) {
-	var out [Units]float64
-	var total float64
-	for u := range out {
-		out[u] = baseUnitLoad
-	}
+// reported returns the sum of the latest reports of the VMs.
+func (l *loadReports) reported(s core.Service) *[Units]float64 {
+	var sum [Units]float64
 	for _, r := range l.byVM {
 		for u, rate := range r.UnitLoads[s] {
 			if u >= 0 && u < Units {
-				out[u] += rate
-				total += rate
+				sum[u] += rate
 			}
 		}
 	}
+	return &sum
+}
+
+// update adds the latest reports to the estimated loads. It is called once per
+// report interval.
+func (l *loadReports) update(s core.Service) {
+	sum := l.reported(s)
+	units := l.units[s]
+	if units == nil {
+		l.units[s] = sum
+		return
+	}
+	for u, rate := range sum {
+		if rate-units[u] > surgeDeviations*math.Sqrt(max(units[u], 1)) {
+			units[u] = rate
+			continue
+		}
+		units[u] += (rate - units[u]) * loadSmoothing
+	}
+}
+
+// unitLoads returns the requests per second of each unit of a service, and the
+// measured total.
+func (l *loadReports) unitLoads(s core.Service) (*[Units]float64, float64) {
+	units := l.units[s]
+	if units == nil {
+		units = l.reported(s)
+	}
+	out := *units
+	var total float64
+	for u := range out {
+		total += out[u]
+		out[u] += baseUnitLoad
+	}
 	return &out, total
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -431,3 +433,67 @@
 	is.True(r.candidates[1].utilisation() <= sourceUtilisationFactor*r.meanUtilisation())
 	is.Equal(r.assignments.At(0).Owner.Target, core.Target("0"))
 }
+
+// TestRandomArrivalsMoveNothing guards against moving keys of a large service all
+// day: the counts of one second differ between targets although their loads are
+// equal, and each move makes its keys unavailable. The pattern is a service of
+// many targets with a few requests a second each.
+func TestRandomArrivalsMoveNothing(t *testing.T) {
+	is := is.New(t)
+	const targets, seconds, perTarget = 141, 40, 6.0
+	random := rand.New(rand.NewPCG(5, 1))
+	loads := newLoadReports()
+	r := newTestRebalancer(slices.Repeat([]float64{8.7}, targets)...)
+	for u := range Units {
+		n := r.assignUnit(u, r.candidates[u%targets])
+		n.assignment.Token = 1
+		r.assignments.Set(u, n.assignment)
+	}
+	moved := 0
+	for second := range seconds {
+		counts := make(map[int]float64)
+		for range poisson(random, targets*perTarget) {
+			counts[random.IntN(Units)]++
+		}
+		loads.add(core.Instant(time.Hour).Add(time.Duration(second)*time.Second), LoadReport{VM: "v0", UnitLoads: map[core.Service]map[int]float64{service: counts}})
+		loads.update(service)
+		r.unitLoads, r.totalLoad = loads.unitLoads(service)
+		for i, c := range r.candidates {
+			c.load = 0
+			for u := i; u < Units; u += targets {
+				c.load += r.unitLoads[u]
+			}
+		}
+		trial := *r
+		trial.now = core.Instant(time.Hour).Add(time.Duration(second) * time.Second)
+		if second > 2 {
+			moved += len(trial.levelLoad())
+		}
+	}
+	is.True(moved < seconds) // less than one unit a second
+}
+
+// TestSurgeOfAUnitIsSeenAtOnce guards against smoothing that hides for seconds
+// that a key has become hot.
+func TestSurgeOfAUnitIsSeenAtOnce(t *testing.T) {
+	is := is.New(t)
+	loads := newLoadReports()
+	report := func(rate float64) {
+		loads.add(core.Instant(time.Hour), LoadReport{VM: "v0", UnitLoads: map[core.Service]map[int]float64{service: {3: rate, 4: 2}}})
+		loads.update(service)
+	}
+	for range 20 {
+		report(2)
+	}
+	report(30)
+	units, _ := loads.unitLoads(service)
+	is.True(units[3] >= 30)
+	is.True(units[4] < 2.5)
+}
+
+func poisson(random *rand.Rand, mean float64) (n int) {
+	for t := random.ExpFloat64(); t < mean; t += random.ExpFloat64() {
+		n++
+	}
+	return n
+}
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -61,6 +61,9 @@
 		return nil, ""
 	}
 	a.rebalancedAt = now
+	for _, name := range names {
+		a.loads.update(name)
+	}
 	for _, name := range names {
 		if a.ledger.Services[name] == nil || !a.anyEligible(now, name) {
 			continue
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
@@ -8,11 +9,13 @@
 
 const (
 	// Load moves away from targets whose utilisation is at least
-	// minSourceUtilisation and at least sourceUtilisationFactor times the mean, at
-	// most maxMovesPerRound units per round. The factor tolerates the variation
-	// caused by random arrivals.
+	// minSourceUtilisation, and whose load exceeds sourceUtilisationFactor times a
+	// fair share by sourceDeviations standard deviations of random arrivals. Then
+	// it moves until the factor is met, at most maxMovesPerRound units per round.
+	// A unit is unavailable while it moves, about as long as a request takes.
 	minSourceUtilisation    = 0.45
 	sourceUtilisationFactor = 1.25
+	sourceDeviations        = 2.0
 	maxMovesPerRound        = 96
 	// A unit that uses at least hotUnitUtilisation of a target's capacity moves to
 	// a target whose utilisation with it is at most hotUnitUtilisationRatio of the
@@ -185,6 +188,9 @@
 	}
 	mean := r.meanUtilisation()
 	exhausted := make(map[*candidate]bool)
+	for _, c := range r.candidates {
+		exhausted[c] = !c.overloaded(mean)
+	}
 	for len(out) < maxMovesPerRound {
 		from := r.mostUtilised(exhausted)
 		if from == nil || from.utilisation() < minSourceUtilisation || from.utilisation() < sourceUtilisationFactor*mean {
@@ -200,6 +206,15 @@
 	return out
 }
 
+// overloaded reports whether a target has more load than its capacity and random
+// arrivals explain, given the mean utilisation of the targets.
+func (c *candidate) overloaded(mean float64) bool {
+	limit := sourceUtilisationFactor * mean * c.capacity
+	// The variance of an exponentially weighted mean of Poisson counts.
+	deviation := math.Sqrt(limit * loadSmoothing / (2 - loadSmoothing))
+	return c.utilisation() >= minSourceUtilisation && c.load >= limit+sourceDeviations*deviation
+}
+
 // pickMove returns a unit that should leave a highly utilised target, and its
 // new owner. A unit with more load than any target has room for moves only to a
 // target that is much less utilised with it, as other units can then leave that
