balance, ingress: requests wait for a move by their latency objective

A caller whose key had lost its owner was told to return after 150 ms and spent its only retry within the two to five seconds in which the key has none.

Change: the wait is half of the objective, 250 ms at least, and a quarter of the remaining time at most. Retry-After for a lost owner is 1 s.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -174,6 +174,23 @@
 	d := selectTarget(b, start)
 	is.Equal(d.Verdict, Wait)
 	is.Equal(d.Reason, "moving")
+	is.Equal(d.MaxWait, minOwnerWait)
+	// Requests with time to spare outlast the running ones that the move waits for.
+	is.Equal(selectTarget(b, start, func(a *SelectTarget) { a.Objective = 2 * time.Second }).MaxWait, time.Second)
+}
+
+// Guards against callers that spend their retries within the seconds in which
+// the keys of a lost owner have none.
+func TestLostOwnerIsNotRetriedSoon(t *testing.T) {
+	is := is.New(t)
+	b := setup{targets: []discovery.Target{warmTarget("a")}, service: routing.Service{Sharded: true}}.fleet()[0]
+	b.Step(start, OwnersChanged{View: ownedBy("a")})
+	is.Equal(selectTarget(b, start).Verdict, Send)
+	b.Step(start, AttemptDone{Service: "s", Target: "a", Result: ConnectFailed})
+	d := selectTarget(b, start, func(a *SelectTarget) { a.Objective = 2 * time.Second })
+	is.Equal(d.Verdict, Wait)
+	is.Equal(d.MaxWait, minOwnerWait)
+	is.Equal(d.RetryAfter, ownerLostRetryAfter)
 }
 
 // Guards against requests to a process that was replaced under its id, and
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -35,6 +35,16 @@
 	// unavailableRetryAfter is the retry delay when no target can take the
 	// request.
 	unavailableRetryAfter = 150 * time.Millisecond
+	// ownerLostRetryAfter is the retry delay when the owner of a key is lost. Its
+	// keys get another owner in two to five seconds, so that callers best use the
+	// time that they have.
+	ownerLostRetryAfter = time.Second
+	// minOwnerWait bounds from below how long a request may wait for the owner of
+	// its key: about the time in which a move without running requests or a probe
+	// ends. A move ends once the running requests for its keys have ended, so that
+	// requests with a longer latency objective may wait a part of it.
+	minOwnerWait     = 250 * time.Millisecond
+	ownerWaitDivisor = 2
 )
 
 // Balancer is the state machine that selects targets.
@@ -296,28 +306,37 @@
 func (b *Balancer) keyOwner(now core.Instant, req SelectTarget) (*target, Decision) {
 	assignment, ok := b.owners.Assignment(req.Service, req.Key)
 	if !ok {
-		return nil, waitForOwner("", "no-owner")
+		return nil, waitForMove(req, "", "no-owner")
 	}
 	if assignment.Moving() {
-		return nil, waitForOwner(assignment.Owner.Target, "moving")
+		return nil, waitForMove(req, assignment.Owner.Target, "moving")
 	}
 	t := b.targets[assignment.Owner.Target]
 	switch {
 	case t == nil || t.StartedAt != assignment.Owner.StartedAt:
-		return nil, waitForOwner(assignment.Owner.Target, "owner-lost")
+		return nil, waitForLostOwner(assignment.Owner.Target, "owner-lost")
 	case t.unreachable || t.replaced:
-		return nil, waitForOwner(t.ID, "owner-unreachable")
+		return nil, waitForLostOwner(t.ID, "owner-unreachable")
 	case !t.ServesOwnedKeys(now):
-		return nil, waitForOwner(t.ID, "owner-leaving")
+		return nil, waitForMove(req, t.ID, "owner-leaving")
 	case b.full(now, t, req.Priority):
 		return nil, b.rejectOverloaded(now, t, "full")
 	}
 	return t, Decision{}
 }
 
-// waitForOwner returns the decision to wait for an owner of the key.
-func waitForOwner(owner core.Target, reason string) Decision {
-	return Decision{Verdict: Wait, Target: Target{ID: owner}, Reason: reason, RetryAfter: unavailableRetryAfter}
+// waitForMove returns the decision to wait for the owner of a key that moves.
+func waitForMove(req SelectTarget, owner core.Target, reason string) Decision {
+	return Decision{
+		Verdict: Wait, Target: Target{ID: owner}, Reason: reason, RetryAfter: unavailableRetryAfter,
+		MaxWait: max(minOwnerWait, req.Objective/ownerWaitDivisor),
+	}
+}
+
+// waitForLostOwner returns the decision to wait whether a probe reaches the owner
+// of a key.
+func waitForLostOwner(owner core.Target, reason string) Decision {
+	return Decision{Verdict: Wait, Target: Target{ID: owner}, Reason: reason, RetryAfter: ownerLostRetryAfter, MaxWait: minOwnerWait}
 }
 
 // rejectOverloaded rejects a request because the target is overloaded.
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -72,6 +72,8 @@
 	Reason string
 	// RetryAfter is the delay after which a rejected caller may retry.
 	RetryAfter time.Duration
+	// MaxWait is how long a request may wait with Wait, from its first decision.
+	MaxWait time.Duration
 	// ExpectedLatency is the estimated time until the response.
 	ExpectedLatency time.Duration
 	// Occupancy is the estimated number of requests at the target.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// maxOwnerWait bounds how long a request waits until its key has an owner:
-	// about the time that a move takes. The wait is also bounded to the remaining
-	// time of the request divided by ownerWaitDivisor.
-	maxOwnerWait      = 250 * time.Millisecond
+	// ownerWaitDivisor bounds how long a request waits until its key has an owner,
+	// as a fraction of its remaining time.
 	ownerWaitDivisor  = 4
 	ownerPollInterval = 25 * time.Millisecond
 	// notOwnerDelay is the delay before an attempt after the owner has rejected one
@@ -129,10 +127,11 @@
 }
 
 // selectTarget requests a decision from the balancer. While the request's key
-// has no owner, it waits and retries, for at most maxOwnerWait.
+// has no owner, it waits and retries, as long as the decision allows.
 func (r *request) selectTarget(kind balance.AttemptKind) (balance.Decision, error) {
 	reply := make(chan balance.Decision, 1)
-	waitUntil := r.Clock().Add(min(maxOwnerWait, r.deadline.Sub(r.Clock())/ownerWaitDivisor))
+	startedAt := r.Clock()
+	maxWait := r.deadline.Sub(startedAt) / ownerWaitDivisor
 	tried := r.tried
 	if r.keyed {
 		tried = nil
@@ -147,7 +146,7 @@
 		if err != nil {
 			return d, err
 		}
-		if d.Verdict != balance.Wait || !r.Clock().Before(waitUntil) {
+		if d.Verdict != balance.Wait || r.Clock().Sub(startedAt) >= min(maxWait, d.MaxWait) {
 			r.recordDecision(d)
 			return d, nil
 		}
