replica: readers and followers that are off sleep until they are switched on

Cause: each VM had four readers and a follower that looked every 50 ms whether they were switched on, up to 100 wake-ups a second for nothing.

Change: a toggle wakes the goroutine.

--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -25,6 +25,8 @@
 	// preferredRetryTime is how long a VM follows a source that is not its first
 	// choice before it tries the first choice again.
 	preferredRetryTime = 4 * time.Second
+	// noSourcePause is the pause while no other VM is known.
+	noSourcePause = 50 * time.Millisecond
 	// roundPause is the pause after all sources were tried and none was usable.
 	roundPause = 250 * time.Millisecond
 )
@@ -46,16 +48,17 @@
 	out     *ring.Ring[Message]
 	clock   duty.Clock
 	log     logr.Logger
-	enabled atomic.Bool
+	enabled toggle
 	next    [NumStreams]atomic.Int64
 }
 
 // NewFollower returns a follower that is disabled.
 func NewFollower(sources Sources, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) *Follower {
-	return &Follower{sources: sources, out: out, clock: clock, log: log}
+	return &Follower{sources: sources, out: out, clock: clock, log: log, enabled: newToggle()}
 }
 
-func (f *Follower) SetEnabled(enabled bool) { f.enabled.Store(enabled) }
+// SetEnabled switches the follower on or off.
+func (f *Follower) SetEnabled(enabled bool) { f.enabled.set(enabled) }
 
 // Advance sets the offset from which records of a stream are requested.
 func (f *Follower) Advance(s Stream, next int64) { f.next[s].Store(next) }
@@ -65,17 +68,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	choice, following := 0, false
 	var followingSince core.Instant
-	for ctx.Err() == nil {
-		if !f.enabled.Load() {
-			duty.Sleep(ctx, idlePollInterval)
-			continue
-		}
+	for f.enabled.wait(ctx) {
 		if choice > 0 && following && f.clock().Sub(followingSince) > preferredRetryTime {
 			choice, following = 0, false
 		}
 		peer, count := f.sources(choice)
 		if peer == nil {
-			duty.Sleep(ctx, idlePollInterval)
+			duty.Sleep(ctx, noSourcePause)
 			continue
 		}
 		wait := time.Duration(0)
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -50,9 +50,6 @@
 	// lazyBackoff is the pause of a reader that is not eager. In an outage all
 	// VMs may read the store at the same time.
 	lazyBackoff = 2500 * time.Millisecond
-	// idlePollInterval is how often a disabled reader or follower checks whether
-	// it has been enabled.
-	idlePollInterval = 50 * time.Millisecond
 )
 
 // fromStore is the Source of batches that this VM read from the store.
@@ -65,7 +62,7 @@
 	out     *ring.Ring[Message]
 	clock   duty.Clock
 	log     logr.Logger
-	enabled atomic.Bool
+	enabled toggle
 	// eager is set if other VMs rely on this reader.
 	eager atomic.Bool
 	// next is the offset to read from, or negative for a complete read.
@@ -83,7 +80,7 @@
 func NewReaders(store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) [NumStreams]*Reader {
 	var all [NumStreams]*Reader
 	for i := range all {
-		all[i] = &Reader{stream: Stream(i), store: store, out: out, clock: clock, log: log}
+		all[i] = &Reader{stream: Stream(i), store: store, out: out, clock: clock, log: log, enabled: newToggle()}
 		all[i].next.Store(-1)
 	}
 	for _, r := range all {
@@ -97,8 +94,8 @@
 // SetEnabled switches the reader on or off. An eager reader retries often while
 // the store is unreachable.
 func (r *Reader) SetEnabled(enabled, eager bool) {
-	r.enabled.Store(enabled)
 	r.eager.Store(eager)
+	r.enabled.set(enabled)
 }
 
 // Advance skips records that were received from another source.
@@ -111,11 +108,7 @@
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	backoff := minBackoff
-	for ctx.Err() == nil {
-		if !r.enabled.Load() {
-			duty.Sleep(ctx, idlePollInterval)
-			continue
-		}
+	for r.enabled.wait(ctx) {
 		changed, err := r.read(ctx)
 		if err != nil {
 			r.failed(ctx, err)
