node: listeners of the tests have an address that no outgoing connection uses

Cause: TestStoreOutage failed once (bind: address already in use, 127.0.0.1:33173). It restarts a VM on its port; in between, an outgoing connection of another test had been given that port.

Change: the VMs of the tests listen on 127.1.0.1. Outgoing connections have the local address 127.0.0.1, so the kernel can't give them these ports.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -95,9 +95,11 @@
 	return s
 }
 
-// freeAddress returns a loopback address whose port is unused.
+// freeAddress returns a loopback address whose port is unused. Outgoing
+// connections have the local address 127.0.0.1, so that none of them takes the
+// port while the VM is down.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.1.0.1:0")
 	is.New(t).NoErr(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
