ownership: load moves in runs of units

Cause: one order moved one unit.

Change: the busiest run of neighbouring units that fits moves as one, and a target is relieved completely before the next.

Measured: TestOverloadIsLevelledInAFewRounds fails without the change.

--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -9,14 +9,16 @@
 
 const (
 	// Load moves away from targets whose utilisation is at least
-	// minSourceUtilisation, and whose load exceeds sourceUtilisationFactor times a
-	// fair share by sourceDeviations standard deviations of random arrivals. Then
-	// it moves until the factor is met, at most maxMovesPerRound units per round.
-	// A unit is unavailable while it moves, about as long as a request takes.
+	// minSourceUtilisation, and whose load exceeds a fair share by the factor
+	// sourceUtilisationFactor and by sourceDeviations standard deviations of random
+	// arrivals, in at most maxMovesPerRound runs and at most maxLoadPerRound of the
+	// service's load per round. Keys are unavailable while they move, about as long
+	// as a request takes.
 	minSourceUtilisation    = 0.45
 	sourceUtilisationFactor = 1.25
-	sourceDeviations        = 2.0
+	sourceDeviations        = 2.5
 	maxMovesPerRound        = 96
+	maxLoadPerRound         = 0.25
 	// A unit that uses at least hotUnitUtilisation of a target's capacity moves to
 	// a target whose utilisation with it is at most hotUnitUtilisationRatio of the
 	// present owner's, as one hot key cannot be split.
@@ -178,9 +180,8 @@
 	return out
 }
 
-// levelLoad moves the busiest units that fit from the most to the least utilised
-// target, which moves the most load per key. A target without a suitable unit
-// keeps its units, and the next one is considered.
+// levelLoad moves runs of units from the most to the least utilised target. A
+// target without a suitable run keeps its units, and the next one is considered.
 func (r *rebalancer) levelLoad() []change {
 	var out []change
 	if r.totalLoad < minServiceLoad {
@@ -189,19 +190,33 @@
 	mean := r.meanUtilisation()
 	exhausted := make(map[*candidate]bool)
 	for _, c := range r.candidates {
-		exhausted[c] = !c.overloaded(mean)
+		if !c.overloaded(mean) {
+			exhausted[c] = true
+		}
 	}
-	for len(out) < maxMovesPerRound {
-		from := r.mostUtilised(exhausted)
+	movedLoad := 0.0
+	var from *candidate
+	for range maxMovesPerRound {
+		// A target is relieved completely before the next one is considered: a
+		// partial relief might hide in the variation of random arrivals.
+		if from == nil || exhausted[from] || from.utilisation() < sourceUtilisationFactor*mean {
+			from = r.mostUtilised(exhausted)
+		}
 		if from == nil || from.utilisation() < minSourceUtilisation || from.utilisation() < sourceUtilisationFactor*mean {
 			break
 		}
-		u, to := r.pickMove(from, mean)
-		if u < 0 {
+		units, to := r.pickMove(from, mean)
+		if units.empty() {
 			exhausted[from] = true
 			continue
 		}
-		out = append(out, r.moveUnit(u, to))
+		// The first run moves even if it has more load than a round may move.
+		if movedLoad += units.load; movedLoad > maxLoadPerRound*r.totalLoad && len(out) > 0 {
+			break
+		}
+		for u := units.from; u <= units.to; u++ {
+			out = append(out, r.moveUnit(u, to))
+		}
 	}
 	return out
 }
@@ -209,32 +224,74 @@
 // overloaded reports whether a target has more load than its capacity and random
 // arrivals explain, given the mean utilisation of the targets.
 func (c *candidate) overloaded(mean float64) bool {
-	limit := sourceUtilisationFactor * mean * c.capacity
+	fair := mean * c.capacity
 	// The variance of an exponentially weighted mean of Poisson counts.
-	deviation := math.Sqrt(limit * loadSmoothing / (2 - loadSmoothing))
-	return c.utilisation() >= minSourceUtilisation && c.load >= limit+sourceDeviations*deviation
+	deviation := math.Sqrt(fair * loadSmoothing / (2 - loadSmoothing))
+	return c.utilisation() >= minSourceUtilisation && c.load >= max(sourceUtilisationFactor*fair, fair+sourceDeviations*deviation)
 }
 
-// pickMove returns a unit that should leave a highly utilised target, and its
-// new owner. A unit with more load than any target has room for moves only to a
-// target that is much less utilised with it, as other units can then leave that
-// target.
-func (r *rebalancer) pickMove(from *candidate, mean float64) (int, *candidate) {
+// run is a run of neighbouring units of one owner.
+type run struct {
+	from, to int
+	load     float64
+}
+
+func (r run) empty() bool { return r.to < r.from }
+
+var noRun = run{from: 0, to: -1}
+
+// pickMove returns the units that should leave a highly utilised target, and
+// their new owner. A unit with more load than any target has room for moves only
+// to a target that is much less utilised with it, as other units can then leave
+// that target.
+func (r *rebalancer) pickMove(from *candidate, mean float64) (run, *candidate) {
 	if to := r.leastUtilisedWarm(nil, 0); to != nil && to.utilisation() <= mean {
 		gap := min(from.load-mean*from.capacity, mean*to.capacity-to.load)
-		if u := r.busiestUnit(from, gap); u >= 0 {
-			return u, to
+		if units := r.busiestRun(from, gap); !units.empty() {
+			return units, to
 		}
 	}
 	u := r.busiestUnit(from, r.totalLoad)
 	if u < 0 || r.unitLoads[u] < hotUnitUtilisation*from.capacity {
-		return -1, nil
+		return noRun, nil
 	}
 	to := r.leastUtilisedWarm(from, r.unitLoads[u])
 	if to == nil || to.utilisationWith(r.unitLoads[u]) > hotUnitUtilisationRatio*from.utilisation() {
-		return -1, nil
+		return noRun, nil
 	}
-	return u, to
+	return run{from: u, to: u, load: r.unitLoads[u]}, to
+}
+
+// busiestRun returns the run of a candidate's units with the highest load up to
+// maxLoad. A run moves as one, so that one order moves as much load as possible.
+func (r *rebalancer) busiestRun(c *candidate, maxLoad float64) run {
+	best := noRun
+	for ar := range r.assignments.Ranges() {
+		if ar.Assignment.Moving() || r.owner(ar.Assignment) != c {
+			continue
+		}
+		window := run{from: ar.From}
+		for u := ar.From; u <= ar.To; u++ {
+			if !r.cooledDown(u) {
+				window = run{from: u + 1}
+				continue
+			}
+			window.to = u
+			window.load += r.unitLoads[u]
+			for ; window.load > maxLoad && window.from <= u; window.from++ {
+				window.load -= r.unitLoads[window.from]
+			}
+			if !window.empty() && window.load > best.load {
+				best = window
+			}
+		}
+	}
+	return best
+}
+
+// cooledDown reports whether a unit has not moved recently.
+func (r *rebalancer) cooledDown(u int) bool {
+	return r.movedAt == nil || r.movedAt[u] == 0 || r.now.Sub(r.movedAt[u]) >= unitCooldown
 }
 
 func (r *rebalancer) moveUnit(u int, to *candidate) change {
@@ -295,8 +352,7 @@
 			continue
 		}
 		for u := ar.From; u <= ar.To; u++ {
-			cooledDown := r.movedAt == nil || r.movedAt[u] == 0 || r.now.Sub(r.movedAt[u]) >= unitCooldown
-			if cooledDown && r.unitLoads[u] <= maxLoad && (best < 0 || r.unitLoads[u] > r.unitLoads[best]) {
+			if r.cooledDown(u) && r.unitLoads[u] <= maxLoad && (best < 0 || r.unitLoads[u] > r.unitLoads[best]) {
 				best = u
 			}
 		}
