transport, upstream: a call that is given up resets its connection

Cause: a grant or a request that timed out closed its connection in the normal way, and the kernel goes on sending what was not acknowledged. Bytes that a partition holds up arrive when the kernel sends them again, seconds after the partition has ended.

Change: connections of calls are reset when they are closed, those of requests when the request is given up.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,6 +3,8 @@
 package transport
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -17,10 +19,28 @@
 }
 
 // New returns a transport. TCP keep-alives are disabled because idle
-// connections are closed before the first probe would be sent.
+// connections are closed before the first probe would be sent. A connection is
+// reset when it is closed: bytes of a call that was given up while the network
+// was partitioned must not arrive after the partition, seconds later.
 func New(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("transport: %w", err)
+			}
+			ResetOnClose(c)
+			return c, nil
+		},
 		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, DisableCompression: true,
 	}
 }
+
+// ResetOnClose makes Close reset a TCP connection and discard the bytes that
+// its peer has not acknowledged.
+func ResetOnClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/protocol"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 // Request is a request to one target.
@@ -101,9 +102,14 @@
 	if errors.Is(err, ErrConnectionLost) && ctx.Err() == nil {
 		c.pool.lost(cn, r.Service, time.Since(sentAt))
 	}
-	if !stop() || err != nil || !reusable {
+	switch stopped := stop(); {
+	case !stopped || err != nil:
+		// Bytes that a partition holds up must not reach the target later.
+		transport.ResetOnClose(cn.Conn)
 		_ = cn.Close()
-	} else {
+	case !reusable:
+		_ = cn.Close()
+	default:
 		c.pool.put(cn, r.MaxIdle)
 	}
 	if err != nil && ctx.Err() != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +274,19 @@
 	}
 	is.Equal(lost, 1)
 }
+
+// Guards against a request that runs after its caller was told that its outcome
+// is unknown: the bytes of a request that was given up are discarded.
+func TestRequestThatWasGivenUpIsReset(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := newClient().Do(ctx, &Request{Address: address, Target: "t", ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Id": {"1"}}})
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
