replica, platform: a backlog that doesn't fit into one read is not the end

Cause: a read of the store returns 1,024 KB at most. The end offset that the response states was ignored, so that after a partition a VM took the first part of a long backlog for the newest state, counted its ledger as fresh, and renewed grants of owners that had lost their keys meanwhile. The age of a copy that a peer sent was counted from the arrival of its reply, however long that was delayed.

Change: a copy is as old as before until the last record of the stream is read, and the reads of a backlog follow each other without a pause. A reply of a peer counts from the end of its wait at the latest. The stand-in of the store cuts responses like the platform, and rejects malformed appends.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -53,17 +53,20 @@
 	for _, h := range have {
 		req.Have = append(req.Have, &meshpb.Position{Stream: uint32(h.Stream), Next: h.Next})
 	}
+	startedAt := p.client.clock()
 	reply, err := p.client.rpc(p.member).Sync(ctx, req)
 	if err != nil {
 		return replica.SyncReply{}, fmt.Errorf("mesh: sync with %s: %w", p.member.VM, err)
 	}
-	now := p.client.clock()
+	// The peer replies within the wait unless its reply is delayed on the way. The
+	// state is then older than the time of arrival suggests.
+	asOf := min(p.client.clock(), startedAt.Add(wait))
 	out := replica.SyncReply{Direct: reply.Direct}
 	for _, s := range reply.Streams {
 		if s.Stream >= uint32(replica.NumStreams) {
 			return replica.SyncReply{}, fmt.Errorf("mesh: sync with %s: unknown stream %d", p.member.VM, s.Stream)
 		}
-		b := replica.Batch{Stream: replica.Stream(s.Stream), Next: s.End, AsOf: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)}
+		b := replica.Batch{Stream: replica.Stream(s.Stream), Next: s.End, AsOf: asOf.Add(-time.Duration(s.AgeMs) * time.Millisecond)}
 		for _, r := range s.Records {
 			b.Records = append(b.Records, replica.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Deleted: r.Deleted})
 		}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -109,7 +109,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	backoff := minBackoff
 	for r.enabled.wait(ctx) {
-		changed, err := r.read(ctx)
+		pause, err := r.read(ctx)
 		if err != nil {
 			r.failed(ctx, err)
 			duty.Sleep(ctx, r.pause(backoff))
@@ -120,7 +120,7 @@
 		if r.failing.Swap(false) {
 			r.log.Info("store reachable again", "stream", r.stream.String())
 		}
-		if changed {
+		if pause {
 			duty.Sleep(ctx, readPause[r.stream])
 		}
 	}
@@ -154,11 +154,13 @@
 	}
 }
 
-// read makes one call and reports whether it returned records.
+// read makes one call and reports whether to pause before the next one: it
+// returned the last records of the stream.
 func (r *Reader) read(ctx context.Context) (bool, error) {
 	from := r.next.Load()
 	start := r.clock()
 	b := Batch{Stream: r.stream, Source: fromStore}
+	var end int64
 	var err error
 	if from < 0 {
 		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -169,9 +171,16 @@
 	} else {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout+readWait[r.stream])
 		defer cancel()
-		b.Records, b.Next, err = r.store.Read(callCtx, r.stream, from, readWait[r.stream])
-		if b.AsOf = start.Add(readWait[r.stream]); len(b.Records) > 0 {
+		b.Records, b.Next, end, err = r.store.Read(callCtx, r.stream, from, readWait[r.stream])
+		switch {
+		case b.Next < end:
+			// A long backlog, as after a partition, takes several reads. The copy is
+			// out of date until the last of them.
+			b.AsOf = 0
+		case len(b.Records) > 0:
 			b.AsOf = max(start, r.clock().Add(-responseDelay))
+		default:
+			b.AsOf = start.Add(readWait[r.stream])
 		}
 	}
 	if err != nil {
@@ -181,5 +190,5 @@
 	if err := r.out.PutBlocking(ctx, Fetched{Batch: b}); err != nil {
 		return false, err
 	}
-	return len(b.Records) > 0, nil
+	return len(b.Records) > 0 && b.Next >= end, nil
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,12 +1,16 @@
 package replica
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/ring"
 )
 
 const start = core.Instant(time.Hour)
@@ -146,3 +150,42 @@
 	_, replied = lastOutput[SendReply](r.Step(start.Add(2*time.Second), Tick{}))
 	is.True(replied)
 }
+
+// backlogStore holds a stream of which each read returns only a part.
+type backlogStore struct {
+	Store
+	perRead, end int64
+}
+
+func (s backlogStore) Read(_ context.Context, _ Stream, from int64, _ time.Duration) ([]Record, int64, int64, error) {
+	next := min(from+s.perRead, s.end)
+	var out []Record
+	for o := from; o < next; o++ {
+		out = append(out, record(fmt.Sprint(o), o))
+	}
+	return out, next, s.end, nil
+}
+
+// Guards against a copy that counts as current although later records of a long
+// backlog have not been read, as after a partition: the VM then renews grants of
+// owners that have lost their keys.
+func TestBacklogIsOutOfDateUntilItsEnd(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	out := ring.New[Message]("test", 16, ring.Block)
+	clock := func() core.Instant { return start }
+	r := NewReaders(backlogStore{perRead: 4, end: 10}, out, clock, logr.Discard())[Owners]
+	r.Advance(0)
+	c := NewCopy()
+	c.Apply(Batch{Stream: Owners, AsOf: start.Add(-5 * time.Second)})
+	for reads := 1; reads <= 3; reads++ {
+		pause, err := r.read(ctx)
+		is.NoErr(err)
+		is.Equal(pause, reads == 3)
+		c.Apply((<-out.C()).(Fetched).Batch)
+		asOf, _ := c.AsOf(Owners)
+		is.Equal(asOf == start, reads == 3)
+	}
+	is.Equal(c.Next(Owners), int64(10))
+}
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -53,9 +53,10 @@
 	// Newest returns the newest record of each key, and the offset from which
 	// Read continues.
 	Newest(ctx context.Context, s Stream) (records []Record, next int64, err error)
-	// Read returns the records from an offset on, and the offset after them. If
+	// Read returns the records from an offset on, the offset after them and the
+	// offset at which the stream ends; the response may leave out later records. If
 	// there are none, it waits for the first one for up to the given time.
-	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (records []Record, next int64, err error)
+	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (records []Record, next, end int64, err error)
 	// Append adds records if the stream ends at the given offset, or
 	// unconditionally if at is negative. It returns the offset of the first record.
 	Append(ctx context.Context, s Stream, at int64, records []Record) (offset int64, err error)
@@ -70,7 +71,8 @@
 	Next int64
 	// Complete is set if Records holds every existing key of the stream.
 	Complete bool
-	// AsOf is a time at which Next was the end of the stream.
+	// AsOf is a time at which Next was the end of the stream, or 0 if it is known
+	// that more records follow.
 	AsOf core.Instant
 	// Source names where the batch came from: the store, a VM or an append.
 	Source string
--- a/standin/wire/store.go
+++ b/standin/wire/store.go
@@ -128,7 +128,11 @@
 		return
 	}
 	var records [][]byte
-	for len(body) >= 4 {
+	for len(body) > 0 {
+		if len(body) < 4 || uint64(binary.BigEndian.Uint32(body)) > uint64(len(body)-4) {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		n := binary.BigEndian.Uint32(body)
 		records = append(records, body[4:4+n])
 		body = body[4+n:]
@@ -193,10 +197,16 @@
 	}
 }
 
+// maxReadBytes is the default of maxKb.
+const maxReadBytes = 1024 << 10
+
 func writeRecords(w io.Writer, first int64, records [][]byte, from int64) {
 	b := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	b = binary.BigEndian.AppendUint64(b, uint64(first))
 	for _, r := range records[min(from, int64(len(records))):] {
+		if len(b) > 16 && len(b)+len(r) > maxReadBytes {
+			break // the header tells the reader that more follows
+		}
 		b = binary.BigEndian.AppendUint32(b, uint32(len(r)))
 		b = append(b, r...)
 	}
