upstream, balance: a connection that is turned away is a true refusal

Cause: a target with too long a queue resets new connections. The limit of connections to a target was divided by all VMs, also where twelve of 95 use it.

Change: a new connection is watched for 1.5 ms before anything is written; if it is reset, the request provably did not run, and the target counts as full. The limit is divided by the VMs that use a target.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -454,3 +454,51 @@
 	b.Step(now, AttemptDone{Service: "s", Target: "a", Result: Cancelled, Load: &TargetLoad{Running: 4, Waiting: 6, Slots: 4, Slowdown: 1}})
 	is.True(b.targets["a"].occupancy(now.Add(300*time.Millisecond)) > 7)
 }
+
+// Guards against a limit of connections for VMs that never use a target: the VMs
+// that do use it then open and close connections all day.
+func TestConnectionsAreSharedByTheUsersOfATarget(t *testing.T) {
+	is := is.New(t)
+	var targets []discovery.Target
+	for i := range 104 {
+		targets = append(targets, warmTarget(fmt.Sprint("t", i)))
+	}
+	for _, sharded := range []bool{false, true} {
+		fleet := setup{members: 95, targets: targets, service: routing.Service{MaxConnections: 630, Sharded: sharded}}.fleet()
+		limit := 0
+		for _, b := range fleet {
+			if sharded {
+				b.Step(start, OwnersChanged{View: ownedBy("t0")})
+			}
+			for i := range 300 {
+				d := selectTarget(b, start.Add(time.Duration(i)*100*time.Millisecond))
+				is.Equal(d.Verdict, Send)
+				limit = d.Target.MaxConnections
+				b.Step(start, AttemptDone{Service: "s", Target: d.Target.ID, Result: Cancelled})
+			}
+		}
+		if sharded {
+			is.Equal(limit, 4) // every VM uses every owner
+			is.True(limit*len(fleet) <= 630)
+			continue
+		}
+		is.True(limit >= 20)
+		is.True(limit*subsetUsers(95, 104) <= 630)
+	}
+}
+
+// Guards against sending more requests to a target that turns connections away.
+// The pattern is the owner of a hot key in a large deployment: each VM sends it
+// few requests, so that no report tells how many are there.
+func TestTargetThatTurnsAwayIsFull(t *testing.T) {
+	is := is.New(t)
+	b := setup{targets: []discovery.Target{warmTarget("a")}, service: routing.Service{Sharded: true}}.fleet()[0]
+	b.Step(start, OwnersChanged{View: ownedBy("a")})
+	urgent := func(a *SelectTarget) { a.Priority = 0 }
+	is.Equal(selectTarget(b, start, urgent).Verdict, Send)
+	b.Step(start, AttemptDone{Service: "s", Target: "a", Result: TurnedAway})
+	d := selectTarget(b, start.Add(10*time.Millisecond), urgent)
+	is.Equal(d.Reason, "full")
+	is.True(d.RetryAfter > minRetryAfter)
+	is.Equal(selectTarget(b, start.Add(time.Second), urgent).Verdict, Send) // it is tried again
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -197,10 +197,19 @@
 	}
 }
 
+// connections returns this VM's limit of connections to a target: an equal part
+// for each VM that uses the target.
 func (b *Balancer) connections(s routing.Service) int {
-	return max(1, int(float64(s.MaxConnections)*connectionFraction)/b.memberCount())
+	users := b.memberCount()
+	if count := len(b.view.ByService[s.Name]); !s.Sharded && count > subsetSize {
+		users = min(users, subsetUsers(users, count))
+	}
+	return max(1, int(float64(s.MaxConnections)*connectionFraction)/users)
 }
 
+// subsetUsers returns how many VMs have a target in their subset.
+func subsetUsers(members, targets int) int { return (subsetSize*members + targets - 1) / targets }
+
 // choose returns the target to send to. If there is none, it returns the
 // decision to wait or reject.
 func (b *Balancer) choose(now core.Instant, req SelectTarget, s routing.Service) (*target, Decision) {
@@ -231,7 +240,7 @@
 		return list, nil
 	}
 	// Every target is in the subsets of the same number of VMs.
-	users := (subsetSize*b.memberCount() + len(list) - 1) / len(list)
+	users := subsetUsers(b.memberCount(), len(list))
 	for _, d := range list {
 		if t := b.targets[d.ID]; t != nil && t.rank < users {
 			subset = append(subset, d)
@@ -370,6 +379,9 @@
 		return nil
 	case Cancelled, NotOwner:
 		return nil
+	case TurnedAway:
+		t.recordFull(now)
+		return nil
 	case OtherProcess:
 		t.replaced = true
 		return []Output{TargetUnreachable{Target: t.ID}, b.event(now, t, "another process responds at the target's address")}
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -115,10 +115,13 @@
 	OtherProcess
 	// NotOwner: the target doesn't hold the key.
 	NotOwner
+	// TurnedAway: the target closed the connection before anything was sent, as a
+	// target does that is full.
+	TurnedAway
 )
 
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "shed", "no-connection", "broken", "late", "cancelled", "other-process", "not-owner"}[r]
+	return [...]string{"answered", "failed", "shed", "no-connection", "broken", "late", "cancelled", "other-process", "not-owner", "turned-away"}[r]
 }
 
 // TargetLoad is the load that a target reports with a response.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -185,6 +186,14 @@
 	}
 }
 
+// recordFull updates the target after it turned a connection away: its queue is
+// as long as it allows, which is longer than this VM would fill it.
+func (t *target) recordFull(now core.Instant) {
+	full := *cmp.Or(t.load, &TargetLoad{Slowdown: 1})
+	t.load, t.loadAt = &full, now
+	t.reportedOthers = max(t.reportedOthers, t.slots()*(1+2*urgentQueueFactor))
+}
+
 // recordDuration updates the pace from the duration of an attempt. It returns the
 // duration without the estimated queueing and slowdown: a sample of the route's
 // work.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -45,7 +45,7 @@
 // mayHaveRun reports whether the target may have run the request.
 func (a *attempt) mayHaveRun() bool {
 	switch a.result {
-	case balance.ConnectFailed, balance.Shed, balance.OtherProcess, balance.NotOwner:
+	case balance.ConnectFailed, balance.Shed, balance.OtherProcess, balance.NotOwner, balance.TurnedAway:
 		return false
 	}
 	return !errors.Is(a.err, upstream.ErrNotSent)
@@ -96,7 +96,7 @@
 			}
 		}
 		if kind = r.nextAttempt(last, possibleRuns); kind == noAttempt {
-			r.writeFailure(last)
+			r.writeFailure(last, 0)
 			return
 		}
 		if last.result == balance.NotOwner {
@@ -202,6 +202,8 @@
 		return r.classifyResponse(a.response)
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return balance.Cancelled
+	case errors.Is(a.err, upstream.ErrTurnedAway):
+		return balance.TurnedAway
 	case errors.Is(a.err, upstream.ErrNotSent):
 		return balance.ConnectFailed
 	case upstream.IsTimeout(a.err):
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -389,3 +389,26 @@
 	is.Equal(f.send(t, http.MethodGet, "/keyed/", "1").StatusCode, http.StatusOK)
 	is.True(f.exchanger.count() <= 2)
 }
+
+// Guards against an unknown outcome for an unsafe request that its target turned
+// away before anything was sent, and against more attempts there at once.
+func TestTurnedAwayRequestIsRefusedTruly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(context.Context, int, *upstream.Request) (*upstream.Response, error) {
+		return nil, fmt.Errorf("%w: reset", upstream.ErrTurnedAway)
+	})
+	f.balancer.reply = func(n int) balance.Decision {
+		if n > 1 {
+			return balance.Decision{Verdict: balance.Reject, Reason: "full", RetryAfter: 300 * time.Millisecond}
+		}
+		return balance.Decision{Target: balance.Target{ID: "t"}}
+	}
+	res := f.send(t, http.MethodPost, "/unsafe/", "1")
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(res.Header.Get("Retry-After"), "0.300")
+	is.Equal(f.exchanger.count(), 1)
+	f.balancer.mu.Lock()
+	defer f.balancer.mu.Unlock()
+	is.Equal(f.balancer.dones[0].Result, balance.TurnedAway)
+	is.Equal(f.balancer.requests[1].Kind, balance.First) // nothing was sent, so it is no retry
+}
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -33,7 +33,7 @@
 // (further) target.
 func (r *request) finishWithoutTarget(last *attempt, d balance.Decision, err error) {
 	if last != nil {
-		r.writeFailure(last)
+		r.writeFailure(last, d.RetryAfter)
 		return
 	}
 	if err != nil {
@@ -51,10 +51,13 @@
 }
 
 // writeFailure responds to a request whose last attempt failed. It states that
-// the request did not run only if no attempt can have run.
-func (r *request) writeFailure(a *attempt) {
+// the request did not run only if no attempt can have run; the caller may then
+// return after retryAfter.
+func (r *request) writeFailure(a *attempt, retryAfter time.Duration) {
 	if !a.mayHaveRun() {
-		r.reject(&rejection{status: http.StatusServiceUnavailable, reason: "not-run-" + a.result.String(), retryAfter: minRetryAfter})
+		r.reject(&rejection{
+			status: http.StatusServiceUnavailable, reason: "not-run-" + a.result.String(), retryAfter: max(retryAfter, minRetryAfter),
+		})
 		return
 	}
 	if a.response != nil && a.response.Stamped {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -55,6 +55,10 @@
 var (
 	// ErrNotSent: no byte of the request was written.
 	ErrNotSent = errors.New("upstream: not sent")
+	// ErrTurnedAway: the target closed a new connection before anything was sent
+	// on it, as targets do that have too many connections or too long a queue. It
+	// wraps ErrNotSent.
+	ErrTurnedAway = fmt.Errorf("%w: turned away", ErrNotSent)
 	// ErrConnRefused: nothing accepts connections at the address.
 	ErrConnRefused = errors.New("upstream: connection refused")
 	// ErrIncomplete: the response is truncated or malformed.
@@ -95,6 +99,10 @@
 			}
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		if err := cn.settle(); err != nil {
+			_ = cn.Close()
+			return nil, fmt.Errorf("%w: %w", ErrTurnedAway, err)
+		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	sentAt := time.Now()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -15,6 +17,9 @@
 	// connectTimeout bounds the handshake within a region, where a round trip
 	// takes a few milliseconds.
 	connectTimeout = 250 * time.Millisecond
+	// settleTime is how long after the handshake a target that has no room resets
+	// a new connection at the latest: the processing time of its accept.
+	settleTime = 1500 * time.Microsecond
 	// defaultIdleTimeout applies to connections of targets that send no Keep-Alive
 	// timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -151,6 +156,23 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, key: key, idleTimeout: defaultIdleTimeout}, nil
 }
 
+// settle waits whether the target closes a new connection at once. A request
+// that is written to such a connection is lost, and nobody can prove that it did
+// not run.
+func (c *conn) settle() error {
+	c.limit.remaining = maxHeadBytes
+	if err := c.SetReadDeadline(time.Now().Add(settleTime)); err != nil {
+		return fmt.Errorf("upstream: read deadline: %w", err)
+	}
+	if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("upstream: connection closed at once: %w", err)
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("upstream: read deadline: %w", err)
+	}
+	return nil
+}
+
 // setUserTimeout makes the kernel end a connection whose peer acknowledges
 // nothing. If the option can't be set, the deadlines of requests still apply.
 func setUserTimeout(t *net.TCPConn) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -290,3 +290,32 @@
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
 }
+
+// Guards against a request that is lost, with an unknown outcome, on a new
+// connection that its target closes because it has no room.
+func TestTurnedAwayConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	turnedAway := 0
+	for range 20 {
+		_, err := send(newClient(), l.Addr().String(), "1")
+		is.True(err != nil)
+		if errors.Is(err, ErrTurnedAway) {
+			is.True(errors.Is(err, ErrNotSent))
+			turnedAway++
+		}
+	}
+	is.True(turnedAway > 0) // a slow accept is later than the time for which a connection is watched
+}
