replica: deputies read the store while it turns all readers away

Cause: the store turned away the readers of all three failure domains at once and served the other VMs.

Change: two deputies in each failure domain read the store once they have lost their source and no other VM is a usable one. The others follow them.

New tests fail without the change.

--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -155,9 +155,10 @@
 		for _, m := range o.View.All() {
 			vms = append(vms, m.VM)
 		}
-		reader := o.View.CapacityRank(readerKey, n.self.FailureDomain) == 0
+		rank := o.View.CapacityRank(readerKey, n.self.FailureDomain)
+		reader := rank == 0
 		n.log.Info("members of the deployment", "count", len(vms), "vms", vms, "reader", reader)
-		n.replicaRing.TryPut(replica.Elected{Reader: reader})
+		n.replicaRing.TryPut(replica.Elected{Reader: reader, Deputy: rank <= readerDeputies})
 		_ = n.balanceRing.Put(ctx, balance.MembersChanged{View: o.View})
 		_ = n.assignerRing.Put(ctx, ownership.MembersChanged{View: o.View})
 		_ = n.renewerRing.Put(ctx, ownership.MembersChanged{View: o.View})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,9 @@
 	peerTimeout = 400 * time.Millisecond
 	// readerKey ranks the VMs of a failure domain for reading the store.
 	readerKey = "reader"
+	// readerDeputies is how many further VMs of a failure domain read the store
+	// while it turns all readers away. More of them would load a store in trouble.
+	readerDeputies = 2
 )
 
 // maxSources bounds the VMs that are followed in turn. It covers the readers of
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -66,7 +66,7 @@
 // Run copies until the context ends. It follows one source as long as the source
 // reads the store itself and has a fresh copy; otherwise it tries all in turn.
 func (f *Follower) Run(ctx context.Context) {
-	choice, following := 0, false
+	choice, following, lost := 0, false, false
 	var followingSince core.Instant
 	for f.enabled.wait(ctx) {
 		if choice > 0 && following && f.clock().Sub(followingSince) > preferredRetryTime {
@@ -84,16 +84,20 @@
 		usable, err := f.sync(ctx, peer, wait)
 		switch {
 		case usable && !following:
-			following, followingSince = true, f.clock()
+			following, followingSince, lost = true, f.clock(), false
 			f.log.Info("following", "vm", peer.Name(), "choice", choice)
 		case usable:
 		default:
 			if following {
+				lost = true
 				f.log.Info("source of the copy lost", "vm", peer.Name(), "reason", reason(err))
 			}
 			following = false
 			if choice++; choice >= count {
 				choice = 0
+				if lost {
+					_ = f.out.PutBlocking(ctx, NoSource{}) // fails only if the context ends
+				}
 				duty.Sleep(ctx, roundPause)
 			}
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +190,76 @@
 	}
 	is.Equal(c.Next(Owners), int64(10))
 }
+
+// Guards against a configuration that stays unknown for seconds after the store
+// turned away the readers of all failure domains and served the other VMs
+// (nrbsa-gateway inc-485b: 2.7 s after its acknowledgement an older version was
+// in use).
+func TestDeputyReadsWithoutASource(t *testing.T) {
+	for _, deputy := range []bool{true, false} {
+		is := is.New(t)
+		r := New()
+		r.Step(start, Tick{})
+		fetchAll(r, start, fromStore)
+		now := start.Add(startReadTime + time.Millisecond)
+		r.Step(now, Elected{Deputy: deputy})
+		fetchAll(r, now, "v2")
+		now = now.Add(700 * time.Millisecond)
+		reading, changed := lastOutput[SetReading](r.Step(now, NoSource{}))
+		is.Equal(changed && reading.On, deputy)
+		if !deputy {
+			continue
+		}
+		is.True(!reading.Eager)
+		reading, changed = lastOutput[SetReading](r.Step(now.Add(directReadTime), Tick{}))
+		is.True(changed && !reading.On) // a usable source was found again
+	}
+}
+
+// unusablePeer has a fresh copy until it no longer reads the store itself.
+type unusablePeer struct{ direct *atomic.Bool }
+
+func (p unusablePeer) Name() core.VM { return "v2" }
+
+func (p unusablePeer) Sync(context.Context, []Position, time.Duration) (SyncReply, error) {
+	return SyncReply{Direct: p.direct.Load(), Batches: []Batch{{Stream: Config, AsOf: start}}}, nil
+}
+
+// Guards against a follower that keeps it to itself that no source is left, and
+// against one that reports so while it looks for its first source after a start.
+func TestFollowerReportsThatNoSourceIsLeft(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	out := ring.New[Message]("test", 1024, ring.Block)
+	peer := unusablePeer{direct: &atomic.Bool{}}
+	f := NewFollower(func(int) (Peer, int) { return peer, 1 }, out, func() core.Instant { return start }, logr.Discard())
+	f.SetEnabled(true)
+	ended := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(ended)
+	}()
+	next := func() Message {
+		select {
+		case m := <-out.C():
+			return m
+		case <-time.After(10 * time.Second):
+			t.Fatal("no message")
+			return nil
+		}
+	}
+	for range 3 {
+		_, fetched := next().(Fetched) // rounds without a source after the start
+		is.True(fetched)
+	}
+	peer.direct.Store(true)
+	time.Sleep(2 * roundPause)
+	peer.direct.Store(false)
+	for {
+		if _, ok := next().(NoSource); ok {
+			break
+		}
+	}
+	cancel()
+	<-ended
+}
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -14,8 +14,8 @@
 	// syncWait is how long a source holds a follower's request while there are no
 	// new records. It bounds the time to detect a failed source.
 	syncWait = 500 * time.Millisecond
-	// directReadAge is the age of the copy from which a VM that is not elected
-	// reads the store itself. Until then it tries all other VMs.
+	// directReadAge is the age of the copy from which a VM that is neither elected
+	// nor a deputy reads the store itself. Until then it tries all other VMs.
 	directReadAge = 3500 * time.Millisecond
 	// directReadTime is how long a VM without a usable source reads the store
 	// itself before it relies on other VMs again.
@@ -52,8 +52,12 @@
 	Direct bool
 }
 
-// Elected states whether this VM reads the store for its failure domain.
-type Elected struct{ Reader bool }
+// Elected states whether this VM reads the store for its failure domain, or is a
+// deputy that does so while no other VM is a usable source.
+type Elected struct{ Reader, Deputy bool }
+
+// NoSource reports that the source was lost and no other VM is usable as one.
+type NoSource struct{}
 
 // Tick advances time.
 type Tick struct{}
@@ -62,6 +66,7 @@
 func (ReadFailed) message()  {}
 func (SyncRequest) message() {}
 func (Elected) message()     {}
+func (NoSource) message()    {}
 func (Tick) message()        {}
 
 // Output is an effect that the caller of Step carries out.
@@ -100,6 +105,7 @@
 	copy      *Copy
 	pending   []SyncRequest
 	elected   bool
+	deputy    bool
 	reading   SetReading
 	following bool
 	// failing is set from a failed read of Owners from the store until the next
@@ -129,7 +135,12 @@
 	case SyncRequest:
 		r.pending = append(r.pending, m)
 	case Elected:
-		r.elected = m.Reader
+		r.elected, r.deputy = m.Reader, m.Deputy
+	case NoSource:
+		// The store may turn away all readers at once, and serve this VM.
+		if r.deputy {
+			r.directUntil = now.Add(directReadTime)
+		}
 	case Tick:
 	}
 	out = append(out, r.sendReplies(now)...)
