upstream, balance, ownership: rejections without an id, invalid rates

Cause: a response without a request id was accepted if its status was 300 or more. A late rejection of an earlier request, on a connection in use again, told the caller that its own request had not run. Two load reports in one instant divided by zero, and an infinite rate would stay in the leader's estimate.

Change: a response to a request must carry its id. A report without elapsed time has no rates, and rates that no VM can have are ignored.

Measured: TestLateSecondCopy, TestTwoLoadReportsInOneInstant and TestInvalidRatesAreIgnored fail without the change.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -502,3 +502,15 @@
 	is.True(d.RetryAfter > minRetryAfter)
 	is.Equal(selectTarget(b, start.Add(time.Second), urgent).Verdict, Send) // it is tried again
 }
+
+// Guards against an infinite rate, and against requests that are lost, when two
+// load reports are requested in one instant.
+func TestTwoLoadReportsInOneInstant(t *testing.T) {
+	is := is.New(t)
+	b := setup{targets: []discovery.Target{warmTarget("a")}, service: routing.Service{Sharded: true}}.fleet()[0]
+	b.Step(start, OwnersChanged{View: ownedBy("a")})
+	b.loadReport(start)
+	selectTarget(b, start, func(a *SelectTarget) { a.Key = 4097 })
+	is.Equal(len(b.loadReport(start).UnitLoads["s"]), 0)
+	is.Equal(b.loadReport(start.Add(2 * time.Second)).UnitLoads["s"][ownership.Unit(4097)], 0.5)
+}
--- a/internal/balance/load_report.go
+++ b/internal/balance/load_report.go
@@ -26,15 +26,9 @@
 		UnitLoads:   make(map[core.Service]map[int]float64),
 		ServiceTime: make(map[core.Target]time.Duration),
 	}
-	elapsed := now.Sub(b.lastReport).Seconds()
-	b.lastReport = now
-	for s, units := range b.unitLoads {
-		rates := make(map[int]float64, len(units))
-		for u, n := range units {
-			rates[u] = n / elapsed
-		}
-		load.UnitLoads[s] = rates
-		clear(units)
+	if elapsed := now.Sub(b.lastReport).Seconds(); elapsed > 0 {
+		b.lastReport = now
+		b.reportUnitLoads(load, elapsed)
 	}
 	for id, t := range b.targets {
 		if !b.services[t.Service].Sharded {
@@ -49,3 +43,16 @@
 	}
 	return load
 }
+
+// reportUnitLoads adds the request rates since the last report and restarts the
+// count.
+func (b *Balancer) reportUnitLoads(load ownership.LoadReport, elapsed float64) {
+	for s, units := range b.unitLoads {
+		rates := make(map[int]float64, len(units))
+		for u, n := range units {
+			rates[u] = n / elapsed
+		}
+		load.UnitLoads[s] = rates
+		clear(units)
+	}
+}
--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -21,6 +21,9 @@
 	// baseUnitLoad is added to the measured load of every unit, in requests per
 	// second. It spreads idle units without outweighing measured ones.
 	baseUnitLoad = 0.003
+	// maxUnitRate bounds the rate of a unit that a VM can report, in requests per
+	// second. An infinite or invalid rate would stay in the estimate for good.
+	maxUnitRate = 1e6
 	// loadSmoothing is the weight of a new sum of reports in the load of a unit. At
 	// a large service a target gets a few requests per second, so that the counts
 	// of one second differ by half of the mean without any change of the load.
@@ -61,7 +64,7 @@
 	var sum [Units]float64
 	for _, r := range l.byVM {
 		for u, rate := range r.UnitLoads[s] {
-			if u >= 0 && u < Units {
+			if u >= 0 && u < Units && rate >= 0 && rate <= maxUnitRate {
 				sum[u] += rate
 			}
 		}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -528,3 +529,17 @@
 	is.True(worst <= 1.05*sourceUtilisationFactor*r.meanUtilisation())
 	is.True(total < Units/4) // keys that move are unavailable for a while
 }
+
+// TestInvalidRatesAreIgnored guards against a report with an invalid rate that
+// stops rebalancing for good.
+func TestInvalidRatesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	loads := newLoadReports()
+	for _, rate := range []float64{math.Inf(1), math.NaN(), -1, 2} {
+		loads.add(core.Instant(time.Hour), LoadReport{VM: "v0", UnitLoads: map[core.Service]map[int]float64{service: {3: rate, Units: 1, -1: 1}}})
+		loads.update(service)
+	}
+	units, total := loads.unitLoads(service)
+	is.True(units[3] > 0 && units[3] < 3)
+	is.True(total < 3)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -165,7 +165,8 @@
 	cn.limit.remaining = maxHeadBytes
 	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	id := res.Header.Get(c.headers.RequestID)
-	if id == "" && r.ID != "" && res.StatusCode < http.StatusMultipleChoices {
+	if id == "" && r.ID != "" {
+		// It may belong to an earlier request on the connection, whatever its status.
 		return nil, false, fmt.Errorf("%w: status %d without a request id", ErrIncomplete, res.StatusCode)
 	}
 	if id != "" && id != r.ID {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -319,3 +319,55 @@
 	}
 	is.True(turnedAway > 0) // a slow accept is later than the time for which a connection is watched
 }
+
+// Guards against a late second copy of a response on a connection that is in use
+// again: a caller gets the response to another request, or is told that its
+// request did not run. The copy arrives with the response, while the connection
+// is idle, when the next request has been sent, or in part.
+func TestLateSecondCopy(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		copy string
+		// idle and inUse say when the copy arrives; otherwise it follows the response.
+		idle, inUse bool
+	}{
+		"with the response":                {copy: response("1", "first")},
+		"one byte with the response":       {copy: "H"},
+		"while idle":                       {copy: response("1", "first"), idle: true},
+		"one byte while idle":              {copy: "H", idle: true},
+		"in use":                           {copy: response("1", "first"), inUse: true},
+		"one byte in use":                  {copy: "H", inUse: true},
+		"rejection without an id, in use":  {copy: notRun, inUse: true},
+		"rejection without an id, at once": {copy: notRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := startTarget(t, func(n int, id string, c net.Conn) {
+				switch {
+				case n > 0 && tc.inUse:
+					_, _ = io.WriteString(c, tc.copy+response(id, "own "+id))
+				case n == 0 && tc.idle:
+					_, _ = io.WriteString(c, response(id, "own "+id))
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(c, tc.copy)
+				case n == 0 && !tc.inUse:
+					_, _ = io.WriteString(c, response(id, "own "+id)+tc.copy)
+				default:
+					_, _ = io.WriteString(c, response(id, "own "+id))
+				}
+			})
+			c := newClient()
+			for _, id := range []string{"1", "2", "3"} {
+				resp, err := send(c, address, id)
+				if err != nil {
+					is.True(tc.inUse) // the outcome is unknown, which is said
+					is.True(errors.Is(err, ErrIncomplete))
+				} else {
+					is.Equal(string(resp.Body), "own "+id)
+					is.True(!resp.NotRun)
+				}
+				time.Sleep(40 * time.Millisecond)
+			}
+		})
+	}
+}
