--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -412,3 +412,18 @@
 	is.Equal(f.balancer.dones[0].Result, balance.TurnedAway)
 	is.Equal(f.balancer.requests[1].Kind, balance.First) // nothing was sent, so it is no retry
 }
+
+// Guards against starting the work of a target again elsewhere, or giving it up,
+// because the target is silent for most of the request's time, as one is that is
+// suspended or slow.
+func TestSilentTargetKeepsItsRequest(t *testing.T) {
+	for _, path := range []string{"/unsafe/", "/keyed/"} {
+		is := is.New(t)
+		f := newFixture(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+			time.Sleep(1200 * time.Millisecond)
+			return success(r), nil
+		})
+		is.Equal(f.send(t, http.MethodPost, path, "1").StatusCode, http.StatusOK)
+		is.Equal(f.exchanger.count(), 1)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -116,24 +117,40 @@
 }
 
 // Guards against a truncated response that is accepted as complete, for each
-// way to delimit a response.
+// way to delimit a response and each way to end a connection.
 func TestTruncatedResponseIsIncomplete(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, raw := range map[string]string{
-		"length":  "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 10\r\n\r\nhalf",
-		"chunked": "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-		"head":    "HTTP/1.1 200 OK\r\nId: r1\r\nSta",
-		"garbage": "4\x00\x01 not an answer\r\n\r\n",
-		"no id":   "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 0\r\n\r\n",
+		"length":         "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 10\r\n\r\nhalf",
+		"no body":        "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 10\r\n\r\n",
+		"chunked":        chunked + "4\r\nhalf\r\n",
+		"in a chunk":     chunked + "8\r\nhalf",
+		"chunk size":     chunked + "4\r\nhalf\r\n1",
+		"last chunk":     chunked + "4\r\nhalf\r\n0\r\n",
+		"trailer":        chunked + "4\r\nhalf\r\n0\r\nA: b\r\n",
+		"head":           "HTTP/1.1 200 OK\r\nId: r1\r\nSta",
+		"end of head":    "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 0\r\n",
+		"garbage":        "4\x00\x01 not an answer\r\n\r\n",
+		"no id":          "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 0\r\n\r\n",
+		"only promising": "HTTP/1.1 103 Early Hints\r\nId: r1\r\n\r\n",
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
-				_, _ = io.WriteString(c, raw)
-				_ = c.Close()
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " reset ", reset), func(t *testing.T) {
+				is := is.New(t)
+				address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
+					_, _ = io.WriteString(c, raw)
+					time.Sleep(20 * time.Millisecond)
+					if reset {
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+					_ = c.Close()
+				})
+				resp, err := send(newClient(), address, "r1")
+				is.True(resp == nil)
+				is.True(errors.Is(err, ErrIncomplete) || errors.Is(err, ErrConnectionLost) && name == "only promising")
+				is.True(!errors.Is(err, ErrNotSent))
 			})
-			_, err := send(newClient(), address, "r1")
-			is.True(errors.Is(err, ErrIncomplete))
-		})
+		}
 	}
 }
 
