ownership: a grant outlasts the longest request

Cause: a target ends work that outlasts its grant with 500.

Change: a grant lasts for the longest timeout of the routes to a sharded service and one renewal interval, 1.8 s at least and 4 s at most. The leader writes the duration into the ledger, where it never decreases; the waits for a holder that doesn't answer use it.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -22,6 +22,14 @@
 func firstKey(unit int) uint16 { return uint16(unit * ownership.KeysPerUnit) }
 func lastKey(unit int) uint16  { return uint16((unit+1)*ownership.KeysPerUnit - 1) }
 
+// grantDuration bounds the duration of a grant to what targets accept.
+func (n *Process) grantDuration(d time.Duration) time.Duration {
+	if n.settings.MaxGrant <= 0 {
+		return d
+	}
+	return min(d, n.settings.MaxGrant)
+}
+
 func (n *Process) release(ctx context.Context, o ownership.Release) {
 	result := ownership.Released{Move: o.Move, Outcome: ownership.ReleaseUnknown}
 	err := n.orders.Submit(ctx, func(ctx context.Context) {
@@ -59,7 +67,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		granted, err := n.platform.Grant(callCtx, o.Holder, firstKey(o.From), lastKey(o.To), o.Token, ownership.GrantDuration, o.Handover)
+		granted, err := n.platform.Grant(callCtx, o.Holder, firstKey(o.From), lastKey(o.To), o.Token, n.grantDuration(o.Duration), o.Handover)
 		result.OK = err == nil && granted
 		if err != nil {
 			n.metrics.Count("grants_failed")
@@ -86,7 +94,7 @@
 				break // the remaining ranges are renewed in the next round
 			}
 			callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
-			granted, err := n.platform.Grant(callCtx, o.Holder, firstKey(unitRange.From), lastKey(unitRange.To), unitRange.Token, ownership.GrantDuration, "")
+			granted, err := n.platform.Grant(callCtx, o.Holder, firstKey(unitRange.From), lastKey(unitRange.To), unitRange.Token, n.grantDuration(o.Duration), "")
 			cancel()
 			if err != nil {
 				n.metrics.Count("grants_failed")
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,8 @@
 	// StopTimeout is how long the process may take to stop after SIGTERM.
 	StopTimeout time.Duration
 	Retry       balance.RetryLimits
+	// MaxGrant is the longest grant that targets accept; 0 means no limit.
+	MaxGrant time.Duration
 	// Capacity is the VM's processor time in cores.
 	Capacity float64
 }
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -193,13 +193,25 @@
 }
 
 func (a *Assigner) appendLeader(now core.Instant) []Output {
-	r, err := encodeLeader(a.self)
+	r, err := encodeLeader(a.self, a.grantDuration())
 	if err != nil {
 		return []Output{Event{Text: "failed to encode leader record", Fields: []any{"reason", err.Error()}}}
 	}
 	return a.append(now, []replica.Record{r})
 }
 
+// grantDuration returns how long grants should last: longer than a request may
+// take, as a target ends work that outlasts its grant with a failure.
+func (a *Assigner) grantDuration() time.Duration {
+	d := a.ledger.GrantDuration()
+	for _, s := range a.services {
+		if s.Sharded {
+			d = max(d, min(s.LongestRequest+RenewInterval, maxGrantDuration))
+		}
+	}
+	return d
+}
+
 func (a *Assigner) append(now core.Instant, records []replica.Record) []Output {
 	a.appendPending, a.appendedAt = true, now
 	return []Output{Append{At: a.ledger.Next, Records: records}}
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -32,6 +32,7 @@
 }
 
 type simVM struct {
+	longestRequest time.Duration
 	*cluster
 	name         core.VM
 	up           bool
@@ -124,6 +125,13 @@
 	}
 }
 
+// services is the configuration of a VM. VMs may have different versions of it.
+func (v *simVM) services() ServicesChanged {
+	return ServicesChanged{Services: map[core.Service]routing.Service{
+		service: {Name: service, Sharded: true, LongestRequest: v.longestRequest},
+	}}
+}
+
 func (v *simVM) start() {
 	v.up = true
 	v.incarnation = int64(v.now)
@@ -132,8 +140,7 @@
 	v.ledger, v.asOf, v.applied, v.directoryAt = NewLedger(), 0, nil, 0
 	incarnation := v.incarnation
 	alive := func() bool { return v.up && v.incarnation == incarnation }
-	services := ServicesChanged{Services: map[core.Service]routing.Service{service: {Name: service, Sharded: true}}}
-	v.post(incarnation, services)
+	v.post(incarnation, v.services())
 	v.shareRoster()
 	var loop func()
 	loop = func() {
@@ -249,7 +256,7 @@
 				v.after(2*v.oneWayDelay(), func() { v.post(incarnation, Granted{Move: o.Move}) })
 				continue
 			}
-			v.sendGrant(incarnation, o.Holder, o.From, o.To, o.Token, func(ok, responded bool) {
+			v.sendGrant(incarnation, o.Holder, o.From, o.To, o.Token, o.Duration, func(ok, responded bool) {
 				v.post(incarnation, GrantSent{Target: o.Holder.Target})
 				v.post(incarnation, Granted{Move: o.Move, OK: ok && responded})
 			})
--- a/internal/ownership/ledger.go
+++ b/internal/ownership/ledger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/replica"
@@ -18,12 +19,27 @@
 	Incarnation int64   `json:"incarnation"`
 }
 
+// leaderRecord is the stored form of the leader.
+type leaderRecord struct {
+	Leader
+	// GrantMs is how long grants last, in milliseconds.
+	GrantMs int64 `json:"grant_ms,omitempty"`
+}
+
 // View is an immutable snapshot of the ledger.
 type View struct {
 	Leader   Leader
 	Services map[core.Service]*Assignments
 	// Next is the offset at which the stream ended.
 	Next int64
+	// grantDuration is the duration of grants that leaders have written. It never
+	// decreases, so that no VM with an older ledger grants for longer.
+	grantDuration time.Duration
+}
+
+// GrantDuration returns how long grants last.
+func (v *View) GrantDuration() time.Duration {
+	return min(max(v.grantDuration, minGrantDuration), maxGrantDuration)
 }
 
 // Unit returns the unit of a key.
@@ -79,11 +95,12 @@
 		return fmt.Errorf("ownership: record %q was deleted", r.Key)
 	}
 	if r.Key == leaderKey {
-		var leader Leader
+		var leader leaderRecord
 		if err := json.Unmarshal(r.Value, &leader); err != nil {
 			return fmt.Errorf("ownership: decode leader: %w", err)
 		}
-		l.view.Leader = leader
+		l.view.Leader = leader.Leader
+		l.view.grantDuration = max(l.view.grantDuration, time.Duration(leader.GrantMs)*time.Millisecond)
 		return nil
 	}
 	service, block, err := parseKey(r.Key)
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -133,13 +133,14 @@
 	Token    int64
 }
 
-// Grant grants units to a holder for GrantDuration, unless a check shows that
-// the target was restarted.
+// Grant grants units to a holder, unless a check shows that the target was
+// restarted.
 type Grant struct {
 	Move     MoveID
 	Holder   Holder
 	From, To int
 	Token    int64
+	Duration time.Duration
 	Handover string
 }
 
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -157,7 +157,7 @@
 		}
 		mv.orderPending = true
 		mv.grantAttempts++
-		return []Output{Grant{Move: mv.id, Holder: mv.owner, From: mv.id.From, To: mv.to, Token: mv.id.Token, Handover: mv.handover}}
+		return []Output{Grant{Move: mv.id, Holder: mv.owner, From: mv.id.From, To: mv.to, Token: mv.id.Token, Duration: a.ledger.GrantDuration(), Handover: mv.handover}}
 	}
 	return nil
 }
@@ -191,7 +191,7 @@
 	// A VM that has not replied renews until its ledger or its last successful
 	// quorum check is too old.
 	last := max(e.majorityAt.Add(quorumValidity), e.recordedAt.Add(MaxLedgerAge))
-	return !now.Before(last.Add(MaxGrantDuration() + maxAsOfError))
+	return !now.Before(last.Add(longestGrant(a.ledger.GrantDuration()) + maxAsOfError))
 }
 
 func (a *Assigner) released(now core.Instant, m Released) []Output {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -38,6 +38,11 @@
 			t.Parallel()
 			is := is.New(t)
 			c := newCluster(seed, 5, 4)
+			for i, v := range c.vms {
+				// The VMs disagree on how long grants should last.
+				v.longestRequest = time.Duration(seed%2) * time.Duration(i) * 900 * time.Millisecond
+				v.step(v.services())
+			}
 			c.run(8 * time.Second)
 			is.Equal(c.unitsHeld(), Units) // assigned at the start
 			for range 12 {
@@ -145,7 +150,7 @@
 	for _, v := range c.vms {
 		v.step(Unreachable{Target: c.targets[0].id})
 	}
-	c.run(MaxGrantDuration() + 1500*time.Millisecond)
+	c.run(longestGrant(minGrantDuration) + 1500*time.Millisecond)
 	is.Equal(c.unitsHeld(), Units)
 	is.Equal(len(c.violations), 0)
 }
@@ -543,3 +548,38 @@
 	is.True(units[3] > 0 && units[3] < 3)
 	is.True(total < 3)
 }
+
+// TestGrantOutlastsTheLongestRequest guards against grants that end while a target
+// runs a request that was sent in time: the target ends such work with a failure
+// (a third of the requests that took over 1.5 s on the grown nrbsa-gateway). It
+// also guards against a duration that shrinks: the waits before a key gets
+// another owner must cover the grants of VMs with an older ledger.
+func TestGrantOutlastsTheLongestRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(4, 3, 4)
+	c.run(4 * time.Second)
+	duration := func() time.Duration { return c.vms[0].ledger.View().GrantDuration() }
+	is.Equal(duration(), minGrantDuration)
+	configure := func(longest time.Duration) {
+		for _, v := range c.vms {
+			v.longestRequest = longest
+			v.step(v.services())
+		}
+		c.run(3 * time.Second)
+	}
+	configure(3 * time.Second)
+	is.Equal(duration(), 3*time.Second+RenewInterval)
+	configure(time.Minute)
+	is.Equal(duration(), maxGrantDuration)
+	configure(time.Second)
+	is.Equal(duration(), maxGrantDuration)
+	c.run(5 * time.Second)
+	is.Equal(len(c.violations), 0)
+
+	r := NewRenewer(0)
+	r.ledger = c.vms[0].ledger.View()
+	renew := r.renew(c.now, &targetState{}, nil, false).(Renew)
+	is.Equal(renew.Duration, maxGrantDuration)
+	r.targetStates["t"] = &targetState{sentAt: c.now}
+	is.Equal(r.grantQuery(c.now, GrantQuery{Target: "t"}).Remaining, longestGrant(maxGrantDuration))
+}
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -229,8 +229,8 @@
 	return out, nil
 }
 
-func encodeLeader(l Leader) (replica.Record, error) {
-	b, err := json.Marshal(l)
+func encodeLeader(l Leader, grantDuration time.Duration) (replica.Record, error) {
+	b, err := json.Marshal(leaderRecord{Leader: l, GrantMs: grantDuration.Milliseconds()})
 	if err != nil {
 		return replica.Record{}, fmt.Errorf("ownership: encode leader: %w", err)
 	}
--- a/internal/ownership/renewer.go
+++ b/internal/ownership/renewer.go
@@ -21,8 +21,9 @@
 
 // Renew renews the grants of a target's ranges, in order.
 type Renew struct {
-	Holder Holder
-	Ranges []UnitRange
+	Holder   Holder
+	Ranges   []UnitRange
+	Duration time.Duration
 	// Verify requires a check that the target was not restarted recently. A
 	// target restarted under the same id must not get the old grant.
 	Verify bool
@@ -316,7 +317,7 @@
 	if s.suspectedAt != 0 {
 		s.suspectedAt, verify = 0, false // resolved by the directory
 	}
-	return Renew{Holder: s.holder, Ranges: ranges, Verify: verify}
+	return Renew{Holder: s.holder, Ranges: ranges, Duration: r.ledger.GrantDuration(), Verify: verify}
 }
 
 func maxToken(ranges []UnitRange) int64 {
@@ -390,7 +391,7 @@
 		}
 		last = max(last, s.sentAt)
 	}
-	return GrantQueryReply{Applied: true, Remaining: max(0, MaxGrantDuration()-now.Sub(last))}
+	return GrantQueryReply{Applied: true, Remaining: max(0, longestGrant(r.ledger.GrantDuration())-now.Sub(last))}
 }
 
 // caughtUp reports whether the ledger contains everything that the VM knew before
--- a/internal/ownership/simulated_target_test.go
+++ b/internal/ownership/simulated_target_test.go
@@ -39,7 +39,7 @@
 
 // sendGrant delivers a grant. Some grants are carried out seconds later without a
 // response; their duration counts from their arrival.
-func (v *simVM) sendGrant(incarnation int64, h Holder, from, to int, token int64, done func(ok, responded bool)) {
+func (v *simVM) sendGrant(incarnation int64, h Holder, from, to int, token int64, duration time.Duration, done func(ok, responded bool)) {
 	t := v.targetByID(h.Target)
 	// An order is lost if the process at the other end of the connection exits.
 	startedAt, connected := t.startedAt, t.up
@@ -49,7 +49,7 @@
 			v.after(300*time.Millisecond, func() { done(false, false) })
 			return
 		}
-		until := v.now.Add(time.Duration(float64(GrantDuration) * t.clockFactor))
+		until := v.now.Add(time.Duration(float64(duration) * t.clockFactor))
 		if v.rng.IntN(25) == 0 {
 			v.after(2*time.Second+time.Duration(v.rng.IntN(10000))*time.Millisecond, func() {
 				if sameProcess() {
@@ -119,7 +119,7 @@
 	result := Renewed{Holder: o.Holder, Started: v.now}
 	pending := len(o.Ranges)
 	for _, ur := range o.Ranges {
-		v.sendGrant(incarnation, o.Holder, ur.From, ur.To, ur.Token, func(ok, responded bool) {
+		v.sendGrant(incarnation, o.Holder, ur.From, ur.To, ur.Token, o.Duration, func(ok, responded bool) {
 			if !responded {
 				result.Err = fmt.Errorf("no response")
 			} else if result.Responses++; !ok {
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// GrantDuration is how long a grant lasts. It allows for four renewals and
-	// bounds how long keys are unavailable when their holder is unreachable.
-	GrantDuration = 1800 * time.Millisecond
+	// minGrantDuration and maxGrantDuration bound how long a grant lasts. The
+	// former allows for four renewals. The latter bounds how long keys are
+	// unavailable when their holder is unreachable.
+	minGrantDuration = 1800 * time.Millisecond
+	maxGrantDuration = 4 * time.Second
 	// RenewInterval is the time between renewals by one of the two renewers.
 	RenewInterval = 450 * time.Millisecond
 	// MaxLedgerAge is how long a VM renews grants from a ledger that it cannot
@@ -60,7 +62,9 @@
 	maxActiveMoves = 256
 )
 
-// MaxGrantDuration returns the longest time for which a target may consider a
-// grant valid, counted from when it was sent. The platform allows a target's
-// clock to run 2% slow, and the grant may arrive late.
-func MaxGrantDuration() time.Duration { return GrantDuration + GrantDuration/50 + deliveryMargin }
+// longestGrant returns the longest time for which a target may consider a grant
+// valid, counted from when it was sent. The platform allows a target's clock to
+// run 2% slow, and the grant may arrive late.
+func longestGrant(duration time.Duration) time.Duration {
+	return duration + duration/50 + deliveryMargin
+}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -55,6 +55,9 @@
 	ColdRate float64
 	// Sharded is set if a target runs only requests for keys that it was granted.
 	Sharded bool
+	// LongestRequest is the longest timeout of the routes that use the service. A
+	// Table sets it.
+	LongestRequest time.Duration
 }
 
 // Limits bound what a caller may send. Zero means no limit.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -47,3 +48,16 @@
 	is.True(h.Apply(Config{Version: 9}))
 	is.Equal(h.Table().Version(), int64(9))
 }
+
+// Guards against a time for the requests of a service that leaves out the routes
+// that send it only a part.
+func TestLongestRequestOfAService(t *testing.T) {
+	is := is.New(t)
+	tab := NewTable(Config{Version: 1, Services: []Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}, Routes: []Route{
+		{Host: "h", Prefix: "/x/", Timeout: time.Second, Backends: []Backend{{Service: "a", Weight: 1}}},
+		{Host: "h", Prefix: "/y/", Timeout: 3 * time.Second, Backends: []Backend{{Service: "a", Weight: 1}, {Service: "b", Weight: 9}}},
+	}})
+	is.Equal(tab.Services()["a"].LongestRequest, 3*time.Second)
+	is.Equal(tab.Services()["b"].LongestRequest, 3*time.Second)
+	is.Equal(tab.Services()["c"].LongestRequest, time.Duration(0))
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -35,6 +35,12 @@
 		t.services[s.Name] = s
 	}
 	for _, r := range c.Routes {
+		for _, b := range r.Backends {
+			if s, ok := t.services[b.Service]; ok {
+				s.LongestRequest = max(s.LongestRequest, r.Timeout)
+				t.services[b.Service] = s
+			}
+		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], &Rule{Route: r, picker: newWeightedPicker(r.Backends)})
 	}
