ownership: a grant outlasts two thirds of the longest request

Cause: with grants of 3.45 s the keys of owners in a failure domain that is cut off get another owner after 6.4 s, not 4.7 s.

Change: two thirds of the longest timeout, 2.45 s there; one in five of the requests that outlast 1.35 s takes longer.

--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -200,13 +200,13 @@
 	return a.append(now, []replica.Record{r})
 }
 
-// grantDuration returns how long grants should last: longer than a request may
-// take, as a target ends work that outlasts its grant with a failure.
+// grantDuration returns how long grants should last: longer than nearly all
+// requests take, as a target ends work that outlasts its grant with a failure.
 func (a *Assigner) grantDuration() time.Duration {
 	d := a.ledger.GrantDuration()
 	for _, s := range a.services {
 		if s.Sharded {
-			d = max(d, min(s.LongestRequest+RenewInterval, maxGrantDuration))
+			d = max(d, min(s.LongestRequest*grantRequestShare/100+RenewInterval, maxGrantDuration))
 		}
 	}
 	return d
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -8,6 +8,10 @@
 	// unavailable when their holder is unreachable.
 	minGrantDuration = 1800 * time.Millisecond
 	maxGrantDuration = 4 * time.Second
+	// grantRequestShare is the share of the longest request, in percent, that a
+	// grant outlasts. Few requests take longer, and each second of a grant is one
+	// more for which the keys of a lost holder are unavailable.
+	grantRequestShare = 67
 	// RenewInterval is the time between renewals by one of the two renewers.
 	RenewInterval = 450 * time.Millisecond
 	// MaxLedgerAge is how long a VM renews grants from a ledger that it cannot
