node: no address is given to two listeners of the tests

Ruled out: outgoing connections (their local address is 127.0.0.1, checked by a trial).

Change: an address that was returned before is not returned again.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -95,14 +95,22 @@
 	return s
 }
 
-// freeAddress returns a loopback address whose port is unused. Outgoing
-// connections have the local address 127.0.0.1, so that none of them takes the
-// port while the VM is down.
+// takenAddresses holds the addresses that freeAddress has returned.
+var takenAddresses sync.Map
+
+// freeAddress returns a loopback address whose port is unused, and returns none
+// twice: the kernel may choose a port again before the VM that it is meant for
+// listens there, or while that VM is down. Outgoing connections have the local
+// address 127.0.0.1, so that none of them takes the port.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.1.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.1.0.1:0")
+		is.New(t).NoErr(err)
+		is.New(t).NoErr(l.Close())
+		if _, taken := takenAddresses.LoadOrStore(l.Addr().String(), true); !taken {
+			return l.Addr().String()
+		}
+	}
 }
 
 func (d *deployment) vm(name, zone string) *vm {
