replica: a source is usable only while every stream is up to date

What callers saw: requests served by an older version more than 2 s after a change was acknowledged (CONFIG).

Cause: a VM judged its source by the stream that was most up to date, and noted failed reads of Owners only. A source whose reads of the configuration were unanswered kept its followers and never looked for another source itself. A source that had lost the store held its followers' requests for up to 0.5 s more, and deputies waited until all other VMs had been tried.

Change: the age at which a source stops being one is kept for each stream, and a failed read of the configuration, the targets or the owners counts. Such a source replies to its followers at once and follows other VMs itself. Deputies read the store as soon as their source is lost. A VM without any usable source reads the store once its copy is out of date (1.5 s), any VM at 2.5 s, before 3.5 s. A read is held for the rest of the interval since the copy was current, so that ages stay below the new bounds without faults.

Ruled out: shorter time-outs of calls alone, as a store that answers slowly would then never be read.

TestDeputyReadsWithoutASource now supplies the batches of the source that its comment speaks of: without them the copy reaches the age at which all VMs read.

--- a/internal/replica/deployment_test.go
+++ b/internal/replica/deployment_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// configApply is the time in which a change has to be in force after its
-	// acknowledgement (configApply of the users' bounds).
+	// configApply is the time in which a change has to be known to all VMs after its
+	// acknowledgement (configApply and drain of the users' bounds).
 	configApply = 2 * time.Second
 	// storeLatency and peerLatency are the round-trip times of calls.
 	storeLatency = 6 * time.Millisecond
@@ -142,8 +142,8 @@
 	clock    duty.Clock
 
 	mu sync.Mutex
-	// appliedAt is when the VM first knew a record of Config, by offset.
-	appliedAt map[int64]core.Instant
+	// appliedAt is when the VM first knew the record at an offset.
+	appliedAt [NumStreams]map[int64]core.Instant
 }
 
 func (v *vm) emit(_ context.Context, o Output) {
@@ -164,21 +164,24 @@
 }
 
 func (v *vm) noteApplied(c Changed) {
-	if c.Stream != Config {
-		return
-	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range c.Records {
-		v.appliedAt[r.Offset] = v.clock()
+		v.appliedAt[c.Stream][r.Offset] = v.clock()
 	}
 }
 
-func (v *vm) applied(offset int64) (core.Instant, bool) {
+// applied returns when the VM first knew the record at an offset or a later one.
+func (v *vm) applied(s Stream, offset int64) (core.Instant, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	at, ok := v.appliedAt[offset]
-	return at, ok
+	first, ok := core.Instant(0), false
+	for o, at := range v.appliedAt[s] {
+		if o >= offset && (!ok || at.Before(first)) {
+			first, ok = at, true
+		}
+	}
+	return first, ok
 }
 
 // Name implements Peer.
@@ -217,7 +220,10 @@
 		for rank := range vmsPerDomain {
 			v := &vm{
 				name: core.VM(fmt.Sprintf("v%d-%d", domain, rank)), domain: domain, rank: rank, clock: d.clock,
-				ring: ring.New[Message]("replica", 4096, ring.Block), appliedAt: make(map[int64]core.Instant),
+				ring: ring.New[Message]("replica", 4096, ring.Block),
+			}
+			for s := range NumStreams {
+				v.appliedAt[s] = make(map[int64]core.Instant)
 			}
 			d.store.responses[v.name] = new([NumStreams]response)
 			d.vms = append(d.vms, v)
@@ -281,13 +287,13 @@
 	}
 }
 
-// latest returns the VM that last knew of the record of Config at an offset, and
-// how long after the given time.
-func (d *deployment) latest(offset int64, since core.Instant) (core.VM, time.Duration) {
+// latest returns the VM that last knew of the record at an offset, and how long
+// after the given time.
+func (d *deployment) latest(s Stream, offset int64, since core.Instant) (core.VM, time.Duration) {
 	var name core.VM
 	worst := time.Duration(-1)
 	for _, v := range d.vms {
-		at, ok := v.applied(offset)
+		at, ok := v.applied(s, offset)
 		if !ok {
 			return v.name, time.Duration(1<<63 - 1)
 		}
@@ -298,7 +304,7 @@
 	return name, worst
 }
 
-// Guards against a configuration that is not in force in time because the VM that
+// Guards against a configuration or a leaving target that is not known in time because the VM that
 // a copy comes from has lost the store, wholly or for one stream, and keeps its
 // followers (macky-brana inc1, nrbsa-gateway inc-485b).
 func TestChangeIsInForceWhileReadersLoseTheStore(t *testing.T) {
@@ -310,15 +316,16 @@
 		affected     func(v *vm) bool
 		response     response
 		streams      []Stream
+		changed      Stream
 	}{
-		{"no fault", 3, 3, func(*vm) bool { return false }, served, all},
-		{"readers turned away", 3, 3, reader, turnedAway, all},
-		{"readers unanswered", 3, 3, reader, unanswered, all},
-		{"configuration of one reader unanswered", 3, 3, func(v *vm) bool { return v.rank == 0 && v.domain == 0 }, unanswered, []Stream{Config}},
-		{"configuration of the readers unanswered", 3, 3, reader, unanswered, []Stream{Config}},
-		{"targets of the readers unanswered", 3, 3, reader, unanswered, []Stream{Targets}},
-		{"readers turned away, and the deputies of a failure domain", 5, 12, func(v *vm) bool { return v.rank == 0 || v.rank <= 2 && v.domain == 0 }, turnedAway, all},
-		{"readers unanswered, and the deputies of a failure domain", 5, 12, func(v *vm) bool { return v.rank == 0 || v.rank <= 2 && v.domain == 0 }, unanswered, all},
+		{"no fault", 3, 3, func(*vm) bool { return false }, served, all, Config},
+		{"readers turned away", 3, 3, reader, turnedAway, all, Config},
+		{"readers unanswered", 3, 3, reader, unanswered, all, Config},
+		{"configuration of one reader unanswered", 3, 3, func(v *vm) bool { return v.rank == 0 && v.domain == 0 }, unanswered, []Stream{Config}, Config},
+		{"configuration of the readers unanswered", 3, 3, reader, unanswered, []Stream{Config}, Config},
+		{"targets of the readers unanswered", 3, 3, reader, unanswered, []Stream{Targets}, Targets},
+		{"readers turned away, and the deputies of a failure domain", 5, 12, func(v *vm) bool { return v.rank == 0 || v.rank <= 2 && v.domain == 0 }, turnedAway, all, Config},
+		{"readers unanswered, and the deputies of a failure domain", 5, 12, func(v *vm) bool { return v.rank == 0 || v.rank <= 2 && v.domain == 0 }, unanswered, all, Config},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -334,9 +341,9 @@
 					d.disturb(test.affected, test.response, test.streams...)
 					time.Sleep(offset * 3 % (2 * time.Second))
 					acknowledged := d.clock()
-					change := d.store.append(Config, "changed")
+					change := d.store.append(test.changed, "changed")
 					time.Sleep(2 * configApply)
-					name, delay = d.latest(change, acknowledged)
+					name, delay = d.latest(test.changed, change, acknowledged)
 					cancel()
 					time.Sleep(5 * time.Second) // the goroutines of the deployment end
 				})
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -19,9 +19,9 @@
 	// syncPause is the pause between requests. It bounds the share of the
 	// source's processor time that a follower uses.
 	syncPause = 20 * time.Millisecond
-	// maxSourceAge is the age of a source's copy from which another source is
-	// tried. It exceeds the longest time between responses from the store (1.2 s).
-	maxSourceAge = 1600 * time.Millisecond
+	// syncDelay is the transit time of a reply that a follower accepts in addition
+	// to the age at which a source stops being one.
+	syncDelay = 200 * time.Millisecond
 	// preferredRetryTime is how long a VM follows a source that is not its first
 	// choice before it tries the first choice again.
 	preferredRetryTime = 4 * time.Second
@@ -64,7 +64,8 @@
 func (f *Follower) Advance(s Stream, next int64) { f.next[s].Store(next) }
 
 // Run copies until the context ends. It follows one source as long as the source
-// reads the store itself and has a fresh copy; otherwise it tries all in turn.
+// reads the store itself and has a fresh copy of every stream; otherwise it tries
+// all in turn.
 func (f *Follower) Run(ctx context.Context) {
 	choice, following, lost := 0, false, false
 	var followingSince core.Instant
@@ -90,6 +91,7 @@
 		default:
 			if following {
 				lost = true
+				_ = f.out.PutBlocking(ctx, SourceLost{}) // fails only if the context ends
 				f.log.Info("source of the copy lost", "vm", peer.Name(), "reason", reason(err))
 			}
 			following = false
@@ -124,12 +126,12 @@
 	if err != nil {
 		return false, err
 	}
-	fresh := false
+	fresh := len(reply.Batches) > 0
 	now := f.clock()
 	for _, b := range reply.Batches {
 		b.AsOf = min(b.AsOf, now)
 		b.Source = string(p.Name())
-		fresh = fresh || now.Sub(b.AsOf) < maxSourceAge
+		fresh = fresh && now.Sub(b.AsOf) < staleAge[b.Stream]+syncDelay
 		if err := f.out.PutBlocking(ctx, Fetched{Batch: b}); err != nil {
 			return false, err
 		}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -8,18 +8,21 @@
 
 	"github.com/go-logr/logr"
 
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ring"
 )
 
-// readWait is how long the store holds a read while there are no new records.
-// The leader writes to Owners every second, so a reader of Owners usually gets a
-// response that often. A dead connection is detected only after the wait, so it
-// must stay well below the time in which changes have to take effect.
+// readWait bounds the time from that as of which the copy is current to the next
+// response of the store. The store holds a read for the rest of it while there are
+// no new records. A dead connection is detected only after the wait, so it must
+// stay well below the time in which changes have to take effect. The leader writes
+// to Owners about every second, so a reader of Owners usually gets a response
+// that often.
 var readWait = [NumStreams]time.Duration{
-	Config:  1200 * time.Millisecond,
-	Targets: 1200 * time.Millisecond,
-	Owners:  1200 * time.Millisecond,
+	Config:  1100 * time.Millisecond,
+	Targets: 1100 * time.Millisecond,
+	Owners:  1400 * time.Millisecond,
 	Members: 2500 * time.Millisecond,
 }
 
@@ -44,6 +47,8 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// minReadWait is the shortest wait of a read at the store.
+	minReadWait = 300 * time.Millisecond
 	// outageBackoff is the pause of the readers of other streams while that of
 	// Owners fails as well.
 	outageBackoff = 1200 * time.Millisecond
@@ -69,6 +74,8 @@
 	next atomic.Int64
 	// failing is set while reads fail.
 	failing atomic.Bool
+	// asOf is the time as of which the last response was current. Only Run uses it.
+	asOf core.Instant
 	// ownersReader is the reader of Owners, which retries most often while the
 	// store is unreachable; nil in that reader itself.
 	ownersReader *Reader
@@ -145,9 +152,8 @@
 func (r *Reader) failed(ctx context.Context, err error) {
 	if errors.Is(err, ErrExpired) {
 		r.next.Store(-1)
-	}
-	if r.stream == Owners {
-		_ = r.out.PutBlocking(ctx, ReadFailed{}) // fails only if the context ends
+	} else {
+		_ = r.out.PutBlocking(ctx, ReadFailed{Stream: r.stream}) // fails only if the context ends
 	}
 	if ctx.Err() == nil && !r.failing.Swap(true) {
 		r.log.Info("store lost", "stream", r.stream.String(), "reason", err.Error())
@@ -169,9 +175,10 @@
 		b.Records, b.Next, err = r.store.Newest(callCtx, r.stream)
 		b.AsOf = start
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout+readWait[r.stream])
+		wait := r.wait(start)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 		defer cancel()
-		b.Records, b.Next, end, err = r.store.Read(callCtx, r.stream, from, readWait[r.stream])
+		b.Records, b.Next, end, err = r.store.Read(callCtx, r.stream, from, wait)
 		switch {
 		case b.Next < end:
 			// A long backlog, as after a partition, takes several reads. The copy is
@@ -180,15 +187,22 @@
 		case len(b.Records) > 0:
 			b.AsOf = max(start, r.clock().Add(-responseDelay))
 		default:
-			b.AsOf = start.Add(readWait[r.stream])
+			b.AsOf = start.Add(wait)
 		}
 	}
 	if err != nil {
 		return false, err
 	}
+	r.asOf = b.AsOf
 	r.Advance(b.Next)
 	if err := r.out.PutBlocking(ctx, Fetched{Batch: b}); err != nil {
 		return false, err
 	}
 	return len(b.Records) > 0 && b.Next >= end, nil
 }
+
+// wait returns how long the store may hold a read that starts now.
+func (r *Reader) wait(now core.Instant) time.Duration {
+	longest := readWait[r.stream]
+	return min(longest, max(minReadWait, longest-now.Sub(r.asOf)))
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -94,7 +94,7 @@
 	is.True(ok && !reading.On)
 	following, ok := lastOutput[SetFollowing](out)
 	is.True(ok && following.On)
-	is.Equal(len(r.Step(now.Add(staleAge+100*time.Millisecond), Tick{})), 0)
+	is.Equal(len(r.Step(now.Add(staleAge[Owners]+100*time.Millisecond), Tick{})), 0)
 	reading, ok = lastOutput[SetReading](r.Step(now.Add(directReadAge+100*time.Millisecond), Tick{}))
 	is.True(ok && reading.On && !reading.Eager)
 }
@@ -211,7 +211,9 @@
 			continue
 		}
 		is.True(!reading.Eager)
-		reading, changed = lastOutput[SetReading](r.Step(now.Add(directReadTime), Tick{}))
+		now = now.Add(directReadTime)
+		fetchAll(r, now.Add(-time.Second), "v2")
+		reading, changed = lastOutput[SetReading](r.Step(now, Tick{}))
 		is.True(changed && !reading.On) // a usable source was found again
 	}
 }
@@ -263,3 +265,25 @@
 	cancel()
 	<-ended
 }
+
+// Guards against a source that keeps its followers waiting although it has lost
+// the store or one of its streams is out of date.
+func TestUnusableSourceRepliesAtOnce(t *testing.T) {
+	request := SyncRequest{Have: []Position{{Stream: Config, Next: 1}}, Until: start.Add(time.Hour), Reply: make(chan SyncReply, 1)}
+	for s := range NumStreams {
+		is := is.New(t)
+		r := New()
+		r.Step(start, Tick{})
+		fetchAll(r, start, fromStore)
+		at := start.Add(staleAge[s])
+		for other := range NumStreams {
+			if other != s {
+				r.Step(start, Fetched{Batch: Batch{Stream: other, Next: 1, AsOf: at, Source: fromStore}})
+			}
+		}
+		_, replied := lastOutput[SendReply](r.Step(at.Add(-time.Millisecond), request))
+		is.True(!replied)
+		sent, replied := lastOutput[SendReply](r.Step(at, Tick{}))
+		is.True(replied && !sent.Reply.Direct)
+	}
+}
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -6,17 +6,25 @@
 	"celeryhook.example/celeryhook/internal/core"
 )
 
+// staleAge is the age of the copy of a stream at which a source stops being one
+// and looks for a source itself. A change has to be in force within 2 s, and its
+// followers need up to 300 ms to find another source. Without faults, ages stay
+// below readWait and the latency of a slow store (200 ms).
+var staleAge = [NumStreams]time.Duration{
+	Config:  1500 * time.Millisecond,
+	Targets: 1500 * time.Millisecond,
+	Owners:  1800 * time.Millisecond,
+	Members: 10 * time.Second,
+}
+
 const (
-	// staleAge is the age of the copy from which a VM looks for another source.
-	// A reader gets a response from the store at least every 1.2 s and a
-	// follower up to syncWait later, so that ages stay under 2 s without faults.
-	staleAge = 2 * time.Second
 	// syncWait is how long a source holds a follower's request while there are no
 	// new records. It bounds the time to detect a failed source.
 	syncWait = 500 * time.Millisecond
-	// directReadAge is the age of the copy from which a VM that is neither elected
-	// nor a deputy reads the store itself. Until then it tries all other VMs.
-	directReadAge = 3500 * time.Millisecond
+	// directReadAge is the age of the copy of any stream but Members at which every
+	// VM reads the store itself. Ages at a follower exceed those at its source by up
+	// to syncWait.
+	directReadAge = 2500 * time.Millisecond
 	// directReadTime is how long a VM without a usable source reads the store
 	// itself before it relies on other VMs again.
 	directReadTime = 2 * time.Second
@@ -33,8 +41,8 @@
 // VM or appended by this VM.
 type Fetched struct{ Batch Batch }
 
-// ReadFailed reports that a read of Owners from the store failed.
-type ReadFailed struct{}
+// ReadFailed reports that a read of a stream from the store failed.
+type ReadFailed struct{ Stream Stream }
 
 // SyncRequest is a follower's request for the records that it lacks. Reply must
 // be buffered.
@@ -48,7 +56,8 @@
 // clock.
 type SyncReply struct {
 	Batches []Batch
-	// Direct is set if this VM currently reads the store itself.
+	// Direct is set if this VM currently reads the store itself and has an up-to-date
+	// copy of every stream.
 	Direct bool
 }
 
@@ -56,6 +65,9 @@
 // deputy that does so while no other VM is a usable source.
 type Elected struct{ Reader, Deputy bool }
 
+// SourceLost reports that the source was lost.
+type SourceLost struct{}
+
 // NoSource reports that the source was lost and no other VM is usable as one.
 type NoSource struct{}
 
@@ -66,6 +78,7 @@
 func (ReadFailed) message()  {}
 func (SyncRequest) message() {}
 func (Elected) message()     {}
+func (SourceLost) message()  {}
 func (NoSource) message()    {}
 func (Tick) message()        {}
 
@@ -108,9 +121,9 @@
 	deputy    bool
 	reading   SetReading
 	following bool
-	// failing is set from a failed read of Owners from the store until the next
-	// successful one.
-	failing bool
+	// failing is set for each stream from a failed read from the store until the
+	// next successful one.
+	failing [NumStreams]bool
 	// started is set once all streams have been read.
 	started bool
 	// directUntil is when a VM that is not elected stops reading the store.
@@ -126,21 +139,25 @@
 	var out []Output
 	switch m := m.(type) {
 	case Fetched:
-		if m.Batch.Source == fromStore && m.Batch.Stream == Owners {
-			r.failing = false
+		if m.Batch.Source == fromStore {
+			r.failing[m.Batch.Stream] = false
 		}
 		out = r.apply(m.Batch)
 	case ReadFailed:
-		r.failing = true
+		r.failing[m.Stream] = true
 	case SyncRequest:
 		r.pending = append(r.pending, m)
 	case Elected:
 		r.elected, r.deputy = m.Reader, m.Deputy
-	case NoSource:
-		// The store may turn away all readers at once, and serve this VM.
+	case SourceLost:
+		// The store may have turned away all readers at once, and serve this VM.
 		if r.deputy {
 			r.directUntil = now.Add(directReadTime)
 		}
+	case NoSource:
+		if r.deputy || r.stale(now) {
+			r.directUntil = now.Add(directReadTime)
+		}
 	case Tick:
 	}
 	out = append(out, r.sendReplies(now)...)
@@ -154,16 +171,17 @@
 }
 
 // sendReplies replies to the followers that lack records or whose wait has
-// ended.
+// ended, and to all of them if this VM is not a usable source.
 func (r *Replica) sendReplies(now core.Instant) []Output {
 	var out []Output
+	usable := r.reading.On && !r.storeLost() && !r.stale(now)
 	kept := r.pending[:0]
 	for _, q := range r.pending {
-		if now.Before(q.Until) && !r.hasNewer(q.Have) {
+		if usable && now.Before(q.Until) && !r.hasNewer(q.Have) {
 			kept = append(kept, q)
 			continue
 		}
-		out = append(out, SendReply{To: q.Reply, Reply: SyncReply{Batches: r.batches(q.Have), Direct: r.reading.On && !r.failing}})
+		out = append(out, SendReply{To: q.Reply, Reply: SyncReply{Batches: r.batches(q.Have), Direct: usable}})
 	}
 	r.pending = kept
 	return out
@@ -190,35 +208,47 @@
 	return out
 }
 
-// age returns the age of the stream that is most up to date, whatever its
-// source, or staleAge while a stream has never been read. Any stream shows that
-// the store is reachable.
-func (r *Replica) age(now core.Instant) time.Duration {
-	age := time.Duration(1<<63 - 1)
+// stale reports whether the copy of any stream has reached its staleAge or was
+// never read.
+func (r *Replica) stale(now core.Instant) bool {
 	for s := range NumStreams {
 		asOf, known := r.copy.AsOf(s)
-		if !known {
-			return staleAge
+		if !known || now.Sub(asOf) >= staleAge[s] {
+			return true
 		}
-		age = min(age, now.Sub(asOf))
 	}
-	return age
+	return false
+}
+
+// storeLost reports whether reads from the store fail. Members doesn't count, as
+// its records stay valid for many of its read intervals.
+func (r *Replica) storeLost() bool {
+	return r.failing[Config] || r.failing[Targets] || r.failing[Owners]
+}
+
+// needsDirectRead reports whether other VMs have not kept the copy up to date.
+func (r *Replica) needsDirectRead(now core.Instant) bool {
+	for _, s := range []Stream{Config, Targets, Owners} {
+		if asOf, known := r.copy.AsOf(s); known && now.Sub(asOf) >= directReadAge {
+			return true
+		}
+	}
+	return false
 }
 
 // selectSources decides whether this VM reads the store, follows other VMs, or
 // both.
 func (r *Replica) selectSources(now core.Instant) []Output {
-	age := r.age(now)
-	stale := age >= staleAge
+	stale := r.stale(now)
 	switch {
 	case !r.started:
 		r.directUntil = now.Add(startReadTime)
-	case age >= directReadAge:
+	case r.needsDirectRead(now):
 		r.directUntil = now.Add(directReadTime)
 	}
-	r.started = r.started || age < staleAge
+	r.started = r.started || !stale
 	reading := r.elected || now.Before(r.directUntil)
-	following := !r.elected || stale || r.failing
+	following := !r.elected || stale || r.storeLost()
 	var out []Output
 	if want := (SetReading{On: reading, Eager: r.elected}); want != r.reading {
 		r.reading = want
