platform, balance: rate limits that targets name are read and logged

Targets name in their responses how many requests a second they take from all VMs.

Change: the adapter decodes the header; the balancer keeps the limit of each target and logs when it is named, changed or lifted. A response to a request that was sent before the limit was named doesn't lift it. Limits have no effect yet. What another process announces at a target's address is no longer taken for the target's load.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -372,6 +372,12 @@
 	}
 	t.inFlight = max(0, t.inFlight-1)
 	t.recordLoad(now, m.Load)
+	return append(b.recordAnnouncement(now, t, m.Announced, m.Elapsed), b.recordResult(now, t, m)...)
+}
+
+// recordResult updates the target and the estimates from the result of an
+// attempt.
+func (b *Balancer) recordResult(now core.Instant, t *target, m AttemptDone) []Output {
 	switch m.Result {
 	case Succeeded:
 		b.recordDuration(now, t, m)
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -131,6 +131,13 @@
 	Slowdown float64
 }
 
+// Announcement is what a target announces of itself in a response.
+type Announcement struct {
+	// RateLimit is how many requests a second the target takes from all VMs
+	// together, or 0 if it names no limit.
+	RateLimit float64
+}
+
 // AttemptDone is the result of an attempt that was sent.
 type AttemptDone struct {
 	Service core.Service
@@ -142,6 +149,8 @@
 	Elapsed   time.Duration
 	// Load is the load that the target reported, or nil.
 	Load *TargetLoad
+	// Announced is what the target announced, or nil if it didn't respond.
+	Announced *Announcement
 }
 
 // ProbeDone is the result of a Probe.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -80,6 +80,7 @@
 	nextProbe     core.Instant
 	probeBackoff  time.Duration
 	coldLimiter   coldLimiter
+	announced     announced
 }
 
 func decay(age, halfLife time.Duration) float64 {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -183,8 +183,10 @@
 			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective,
 			Target: a.target, Result: a.result, Elapsed: r.Clock().Sub(startedAt),
 		}
-		if a.response != nil {
+		if a.response != nil && !a.response.OtherProcess {
 			done.Load = r.Headers.ParseLoad(a.response.Header)
+			announced := r.Headers.ParseAnnouncement(a.response.Header)
+			done.Announced = &announced
 		}
 		r.Balancer.Done(done)
 		if a.result == balance.NotOwner {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -39,7 +39,8 @@
 		n, err := strconv.ParseUint(s, 10, 16)
 		return uint16(n), err == nil
 	},
-	ParseLoad: func(http.Header) *balance.TargetLoad { return nil },
+	ParseLoad:         func(http.Header) *balance.TargetLoad { return nil },
+	ParseAnnouncement: func(http.Header) balance.Announcement { return balance.Announcement{} },
 }
 
 func init() { gin.SetMode(gin.ReleaseMode) }
--- a/internal/protocol/headers.go
+++ b/internal/protocol/headers.go
@@ -41,6 +41,8 @@
 	// ParseLoad returns the load that a target reports in a response, or nil if
 	// it reports none.
 	ParseLoad func(http.Header) *balance.TargetLoad
+	// ParseAnnouncement returns what a target announces of itself in a response.
+	ParseAnnouncement func(http.Header) balance.Announcement
 	// ParseColdTime returns the remaining cold-start time that a target reports
 	// in its health response.
 	ParseColdTime func(http.Header) time.Duration
