balance: failing test of the rate limit of a target over all VMs

1 to 95 VMs send to a target that names a limit: under steady overload, then calm, then with many callers at once.

--- a/internal/balance/announce_test.go
+++ b/internal/balance/announce_test.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/routing"
 )
 
 // respond ends an attempt that was sent elapsed ago with a response that names a
@@ -33,3 +36,135 @@
 	is.Equal(len(respond(b, start.Add(3300*time.Millisecond), 0, 100*time.Millisecond)), 1)
 	is.Equal(b.targets["a"].announced.RateLimit, 0.0)
 }
+
+// limitedFleet sends requests of many VMs to a target that names a rate limit in
+// its responses.
+type limitedFleet struct {
+	vms    []*Balancer
+	random *rand.Rand
+	// told is when each VM first got a response that names the limit.
+	told []core.Instant
+	// pending are the attempts that have not ended.
+	pending []pendingAttempt
+	// sent are the requests to the target from VMs that had been told toldDelay
+	// before.
+	sent []core.Instant
+	// total and rejected count the requests of callers.
+	total, rejected int
+}
+
+type pendingAttempt struct {
+	vm     int
+	target core.Target
+	sentAt core.Instant
+}
+
+const (
+	// toldDelay and limitWindow, limitOverrun, limitSlack are those of the users'
+	// rule on rate limits.
+	toldDelay    = 500 * time.Millisecond
+	limitWindow  = 4 * time.Second
+	limitOverrun = 1.5
+	limitSlack   = 5
+	// workTime is how long a request runs.
+	workTime = 60 * time.Millisecond
+)
+
+// run sends requests at a rate a second for a time. Every third VM gets three
+// times as many callers as the others. The limit is 0 if the target names none.
+func (f *limitedFleet) run(from core.Instant, d time.Duration, rate, limit float64) core.Instant {
+	const step = time.Millisecond
+	now := from
+	for ; now.Before(from.Add(d)); now = now.Add(step) {
+		f.endAttempts(now, limit)
+		if f.random.Float64() < rate*step.Seconds() {
+			f.request(now)
+		}
+	}
+	return now
+}
+
+func (f *limitedFleet) request(now core.Instant) {
+	vm := f.random.IntN(len(f.vms))
+	if vm%3 != 0 && f.random.IntN(3) != 0 {
+		vm -= vm % 3
+	}
+	f.total++
+	d := selectTarget(f.vms[vm], now, func(r *SelectTarget) { r.Key = uint16(f.random.IntN(1 << 16)) })
+	if d.Verdict != Send {
+		f.rejected++
+		return
+	}
+	f.pending = append(f.pending, pendingAttempt{vm, d.Target.ID, now})
+	if told := f.told[vm]; d.Target.ID == "a" && told != 0 && now.Sub(told) >= toldDelay {
+		f.sent = append(f.sent, now)
+	}
+}
+
+func (f *limitedFleet) endAttempts(now core.Instant, limit float64) {
+	for len(f.pending) > 0 && now.Sub(f.pending[0].sentAt) >= workTime {
+		p := f.pending[0]
+		f.pending = f.pending[1:]
+		announcement := &Announcement{}
+		if p.target == "a" && limit > 0 {
+			announcement.RateLimit = limit
+			if f.told[p.vm] == 0 {
+				f.told[p.vm] = now
+			}
+		}
+		f.vms[p.vm].Step(now, AttemptDone{Service: "s", Target: p.target, Result: Succeeded, Elapsed: workTime, Announced: announcement})
+	}
+}
+
+// mostInWindow returns the largest number of requests in a window of limitWindow
+// that ends after the given time.
+func (f *limitedFleet) mostInWindow(after core.Instant) int {
+	most, first := 0, 0
+	for i, at := range f.sent {
+		for at.Sub(f.sent[first]) >= limitWindow {
+			first++
+		}
+		if at.After(after) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// Guards against a target that gets more requests than the rate limit that it
+// names, summed over all VMs (macky-brana capped): under steady overload, and when
+// many callers come after a calm time.
+func TestRateLimitOverAllVMs(t *testing.T) {
+	const contact = 3 * time.Second
+	for _, sharded := range []bool{false, true} {
+		for _, members := range []int{1, 9, 12, 61, 95} {
+			for _, limit := range []float64{4, 22, 80} {
+				t.Run(fmt.Sprintf("sharded=%v/vms=%d/limit=%v", sharded, members, limit), func(t *testing.T) {
+					is := is.New(t)
+					targets := []discovery.Target{warmTarget("a")}
+					targets[0].Slots = 64
+					f := limitedFleet{
+						vms:  setup{members: members, targets: targets, service: routing.Service{Sharded: sharded}}.fleet(),
+						told: make([]core.Instant, members), random: rand.New(rand.NewPCG(1, uint64(members))),
+					}
+					if sharded {
+						for _, b := range f.vms {
+							b.Step(start, OwnersChanged{View: ownedBy("a")})
+						}
+					}
+					now := f.run(start, 5*time.Second, 3*limit, 0)
+					named := now
+					now = f.run(now, 15*time.Second, 3*limit, limit)
+					steady := f.mostInWindow(named.Add(contact))
+					now = f.run(now, 10*time.Second, limit/2, limit)
+					f.run(now, 10*time.Second, 8*limit, limit)
+					allowed := int(limitOverrun*limit*limitWindow.Seconds()) + limitSlack
+					if most := f.mostInWindow(named.Add(contact)); most > allowed {
+						t.Errorf("%d requests in 4 s, %d are allowed", most, allowed)
+					}
+					is.True(float64(steady) >= limit*limitWindow.Seconds()/2) // the target is used
+				})
+			}
+		}
+	}
+}
