--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -19,8 +19,9 @@
 	baseSharers     = 5
 	allShare        = 1.2
 	someShare       = 0.7
-	// limitBurst is the time in which a bucket fills.
-	limitBurst = 500 * time.Millisecond
+	// burstShare is the part of what the bound allows beyond the rates that the
+	// buckets hold together. The rest is for VMs that disagree on the members.
+	burstShare = 0.8
 	// The other VMs send one request each in turn, so that they notice when the
 	// limit has been lifted: together 1/probeDivisor of the limit, each in a slot of
 	// at least minProbeSlot.
@@ -48,15 +49,16 @@
 // regularly send to the target and members of the deployment.
 func divideLimit(limit float64, rank, users, members int) limitPart {
 	sharers, share := users, 1.0
-	switch most := int(sharersPerLimit*limit) + baseSharers; {
-	case users > most:
-		sharers, share = most, someShare
+	extra := sharersPerLimit*limit + baseSharers
+	switch {
+	case float64(users) > extra:
+		sharers, share = int(extra), someShare
 	case users == members:
 		share = allShare
 	}
 	if rank < sharers {
 		rate := limit * share / float64(sharers)
-		return limitPart{perSecond: rate, burst: max(1, rate*limitBurst.Seconds())}
+		return limitPart{perSecond: rate, burst: max(1, burstShare*extra/float64(sharers))}
 	}
 	others := max(members-sharers, 1)
 	slot := time.Duration(probeDivisor / limit * float64(time.Second))
