balance, discovery: a target that announces that it leaves gets no new requests

Targets that leave say so in all their responses. Only their registrations were read, which may lag, or never say so while a target is cut off from the store.

Change: the adapter decodes the header; discovery marks the process as draining, whatever its registration says until another process takes its id. Owners of keys serve on for the usual grace period, within the drain bound, while their keys move. A response that may come from the former process of the same id is ignored.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -14,13 +14,25 @@
 }
 
 // recordAnnouncement updates the target from a response to a request that was
-// sent elapsed ago, and returns an event if the announcement changed. A response
-// to a request that was sent before a limit was named doesn't lift the limit: it
-// may have been overtaken.
+// sent elapsed ago. A response to a request that was sent before the target's
+// process was known may come from the former process of the same id.
 func (b *Balancer) recordAnnouncement(now core.Instant, t *target, a *Announcement, elapsed time.Duration) []Output {
-	if a == nil {
+	sentAt := now.Add(-elapsed)
+	if a == nil || sentAt.Before(t.knownSince) {
 		return nil
 	}
+	out := b.recordRateLimit(now, t, a, sentAt)
+	if a.Leaving && !t.Draining {
+		// Repeated until the view shows it, as the message may be dropped.
+		out = append(out, TargetLeaving{Target: t.ID, StartedAt: t.StartedAt})
+	}
+	return out
+}
+
+// recordRateLimit updates the target's rate limit and returns an event if it
+// changed. A response to a request that was sent before a limit was named doesn't
+// lift the limit: it may have been overtaken.
+func (b *Balancer) recordRateLimit(now core.Instant, t *target, a *Announcement, sentAt core.Instant) []Output {
 	old := t.announced.RateLimit
 	switch {
 	case a.RateLimit > 0:
@@ -28,7 +40,7 @@
 			t.rateLimiter = rateLimiter{refilledAt: now, probedAt: now}
 		}
 		t.announced = announced{Announcement: *a, namedAt: now}
-	case old > 0 && now.Add(-elapsed).After(t.announced.namedAt):
+	case old > 0 && sentAt.After(t.announced.namedAt):
 		t.announced = announced{}
 	}
 	if t.announced.RateLimit == old {
--- a/internal/balance/announce_test.go
+++ b/internal/balance/announce_test.go
@@ -252,3 +252,31 @@
 	respond(b, start.Add(3*time.Second), 0, 60*time.Millisecond)
 	is.True(b.loadReport(start.Add(3 * time.Second)).ServiceTime["a"] < 2*usual)
 }
+
+// announce ends an attempt at the target "a" with an announcement.
+func announce(b *Balancer, now core.Instant, result Result, a Announcement) []Output {
+	return b.Step(now, AttemptDone{Service: "s", Target: "a", Result: result, Elapsed: time.Millisecond, Announced: &a})
+}
+
+// Guards against requests to a target that has announced that it leaves before
+// its registration says so, and against one that is taken out because of the
+// former process of its id.
+func TestLeavingTargetIsReported(t *testing.T) {
+	is := is.New(t)
+	target := warmTarget("a")
+	target.StartedAt = 7
+	b := setup{targets: []discovery.Target{target}}.fleet()[0]
+	now := start.Add(time.Second)
+	reported, ok := announce(b, now, Succeeded, Announcement{Leaving: true})[0].(TargetLeaving)
+	is.True(ok)
+	is.Equal(reported, TargetLeaving{Target: "a", StartedAt: 7})
+
+	restarted := target
+	restarted.StartedAt = 8
+	b.Step(now, TargetsChanged{View: &discovery.View{Targets: map[core.Target]*discovery.Target{"a": &restarted}}})
+	is.Equal(len(announce(b, now, Succeeded, Announcement{Leaving: true})), 0) // sent before the process was known
+	is.Equal(len(announce(b, now.Add(time.Second), Succeeded, Announcement{Leaving: true})), 1)
+
+	restarted.Draining = true
+	is.Equal(len(announce(b, now.Add(2*time.Second), Succeeded, Announcement{Leaving: true})), 0) // known
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -86,7 +86,7 @@
 		return b.probeDone(now, m)
 	case TargetsChanged:
 		b.view = m.View
-		b.syncTargets()
+		b.syncTargets(now)
 	case OwnersChanged:
 		b.owners = m.View
 	case ServicesChanged:
@@ -107,14 +107,14 @@
 // syncTargets updates the targets from the registered processes. A process that
 // replaces another under the same id starts with new state, except for the
 // requests in flight, which end under that id.
-func (b *Balancer) syncTargets() {
+func (b *Balancer) syncTargets(now core.Instant) {
 	for id, d := range b.view.Targets {
 		t := b.targets[id]
 		if t != nil && t.StartedAt == d.StartedAt && t.Address == d.Address {
 			t.Target = d
 			continue
 		}
-		n := &target{Target: d}
+		n := &target{Target: d, knownSince: now}
 		if t != nil {
 			n.inFlight = t.inFlight
 		}
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -136,6 +136,8 @@
 	// RateLimit is how many requests a second the target takes from all VMs
 	// together, or 0 if it names no limit.
 	RateLimit float64
+	// Leaving is set if the target is about to exit.
+	Leaving bool
 }
 
 // AttemptDone is the result of an attempt that was sent.
@@ -219,6 +221,13 @@
 // TargetUnreachable reports that a target's process seems to have exited.
 type TargetUnreachable struct{ Target core.Target }
 
+// TargetLeaving reports that a target's process announced that it is about to
+// exit.
+type TargetLeaving struct {
+	Target    core.Target
+	StartedAt int64
+}
+
 // ColdStartReported reports that a target is in a cold start.
 type ColdStartReported struct {
 	Target    core.Target
@@ -240,6 +249,7 @@
 func (DecisionReply) output()     {}
 func (Probe) output()             {}
 func (TargetUnreachable) output() {}
+func (TargetLeaving) output()     {}
 func (ColdStartReported) output() {}
 func (LoadReportReply) output()   {}
 func (Event) output()             {}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -82,6 +82,8 @@
 	coldLimiter   coldLimiter
 	announced     announced
 	rateLimiter   rateLimiter
+	// knownSince is when this VM learned of the process.
+	knownSince core.Instant
 }
 
 func decay(age, halfLife time.Duration) float64 {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -130,3 +130,26 @@
 	both := &Target{Registration: Registration{Draining: true}, Evacuated: true, LeavingSince: start}
 	is.True(!both.ServesOwnedKeys(start.Add(drainGracePeriod + time.Millisecond)))
 }
+
+// Guards against new requests to a target that has announced that it leaves while
+// its registration still says that it is ready, and against one that is taken out
+// because of the former process of its id.
+func TestAnnouncedLeavingOutlastsRegistrations(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.Register(start, registration("a", 7))
+	is.True(!r.MarkLeaving(start, "a", 6))
+	is.True(!r.MarkLeaving(start, "b", 7))
+	is.True(r.View().Targets["a"].Usable())
+	is.True(r.MarkLeaving(start.Add(time.Second), "a", 7))
+	is.True(!r.MarkLeaving(start.Add(2*time.Second), "a", 7)) // no news
+	e := registration("a", 7)
+	e.Sequence = 2
+	r.Register(start.Add(3*time.Second), e)
+	a := r.View().Targets["a"]
+	is.True(!a.Usable())
+	is.Equal(a.LeavingSince, start.Add(time.Second))
+	is.True(!a.ServesOwnedKeys(start.Add(time.Second + drainGracePeriod + time.Millisecond)))
+	r.Register(start.Add(4*time.Second), registration("a", 8))
+	is.True(r.View().Targets["a"].Usable())
+}
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -46,6 +46,9 @@
 	RegisteredColdUntil core.Instant
 	// Evacuated is set while operators have evacuated the failure domain.
 	Evacuated bool
+	// AnnouncedLeaving is set once the process itself announced that it is about to
+	// exit. Draining is then set whatever the registration says, as it may lag.
+	AnnouncedLeaving bool
 	// LeavingSince is when the target was first seen draining or evacuated; the
 	// zero value means neither.
 	LeavingSince core.Instant
@@ -148,6 +151,8 @@
 	if old, ok := r.targets[reg.ID]; ok && old.StartedAt == reg.StartedAt {
 		t.ColdUntil = max(t.ColdUntil, old.ColdUntil)
 		t.RegisteredColdUntil = max(t.RegisteredColdUntil, old.RegisteredColdUntil)
+		t.AnnouncedLeaving = old.AnnouncedLeaving
+		t.Draining = t.Draining || old.AnnouncedLeaving
 		since = old.LeavingSince
 	}
 	t.updateLeavingSince(now, since)
@@ -208,6 +213,21 @@
 	}
 }
 
+// MarkLeaving marks a process as draining because it announced so itself, and
+// reports whether that is news.
+func (r *Registry) MarkLeaving(now core.Instant, id core.Target, startedAt int64) bool {
+	t, ok := r.targets[id]
+	if !ok || t.StartedAt != startedAt || t.AnnouncedLeaving {
+		return false
+	}
+	c := *t
+	c.AnnouncedLeaving, c.Draining = true, true
+	c.updateLeavingSince(now, t.LeavingSince)
+	r.targets[id] = &c
+	r.changed = true
+	return true
+}
+
 // minColdChange is the smallest extension of a cold start that updates the view.
 const minColdChange = 100 * time.Millisecond
 
--- a/internal/discovery/step.go
+++ b/internal/discovery/step.go
@@ -36,6 +36,13 @@
 	Remaining time.Duration
 }
 
+// LeavingReported reports that a target's process announced that it is about to
+// exit.
+type LeavingReported struct {
+	Target    core.Target
+	StartedAt int64
+}
+
 // Tick removes expired targets and publishes a new view if there are changes.
 type Tick struct{}
 
@@ -45,6 +52,7 @@
 func (DirectoryRead) message()     {}
 func (ColdStartsChanged) message() {}
 func (ColdStartReported) message() {}
+func (LeavingReported) message()   {}
 func (Tick) message()              {}
 
 // Output is an action that the duty requests.
@@ -88,6 +96,10 @@
 		}
 	case ColdStartReported:
 		d.registry.ExtendColdStart(now, m.Target, m.Remaining)
+	case LeavingReported:
+		if d.registry.MarkLeaving(now, m.Target, m.StartedAt) {
+			out = append(out, Event{Text: "target announced that it leaves", Fields: []any{"target", m.Target, "born", m.StartedAt}})
+		}
 	case Tick:
 		d.registry.Tick(now)
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -185,7 +185,7 @@
 		}
 		if a.response != nil && !a.response.OtherProcess {
 			done.Load = r.Headers.ParseLoad(a.response.Header)
-			announced := r.Headers.ParseAnnouncement(a.response.Header)
+			announced := r.Headers.ParseAnnouncement(a.response.Status, a.response.Header)
 			done.Announced = &announced
 		}
 		r.Balancer.Done(done)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,7 +40,7 @@
 		return uint16(n), err == nil
 	},
 	ParseLoad:         func(http.Header) *balance.TargetLoad { return nil },
-	ParseAnnouncement: func(http.Header) balance.Announcement { return balance.Announcement{} },
+	ParseAnnouncement: func(int, http.Header) balance.Announcement { return balance.Announcement{} },
 }
 
 func init() { gin.SetMode(gin.ReleaseMode) }
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -175,6 +175,8 @@
 		n.log.Info(o.Text, o.Fields...)
 	case balance.TargetUnreachable:
 		n.assignerRing.TryPut(ownership.Unreachable{Target: o.Target})
+	case balance.TargetLeaving:
+		n.discoveryRing.TryPut(discovery.LeavingReported{Target: o.Target, StartedAt: o.StartedAt})
 	case balance.ColdStartReported:
 		n.discoveryRing.TryPut(discovery.ColdStartReported{Target: o.Target, Remaining: o.Remaining})
 	case balance.Probe:
--- a/internal/protocol/headers.go
+++ b/internal/protocol/headers.go
@@ -42,7 +42,7 @@
 	// it reports none.
 	ParseLoad func(http.Header) *balance.TargetLoad
 	// ParseAnnouncement returns what a target announces of itself in a response.
-	ParseAnnouncement func(http.Header) balance.Announcement
+	ParseAnnouncement func(status int, h http.Header) balance.Announcement
 	// ParseColdTime returns the remaining cold-start time that a target reports
 	// in its health response.
 	ParseColdTime func(http.Header) time.Duration
