balance: a target that turns a request away with Retry-After is left alone

A target that answers 503 with Retry-After wants nothing from the VM for that time. The time was not read: the next request went there at once.

A later, shorter time doesn't end it.

TestPausedTargetGetsNoRequests fails without the change.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -6,6 +6,10 @@
 	"celeryhook.example/celeryhook/internal/core"
 )
 
+// maxPausedRetryAfter bounds the retry delay for callers of a target that wants no
+// requests: the key may get another owner meanwhile.
+const maxPausedRetryAfter = time.Second
+
 // announced holds what a target announced last.
 type announced struct {
 	Announcement
@@ -22,6 +26,12 @@
 		return nil
 	}
 	out := b.recordRateLimit(now, t, a, sentAt)
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(t.pausedUntil) {
+		t.pausedUntil = until
+		out = append(out, Event{Text: "target wants no requests for a time", Fields: []any{
+			"target", t.ID, "service", t.Service, "pause_ms", a.Pause.Milliseconds(),
+		}})
+	}
 	if a.Leaving && !t.Draining {
 		// Repeated until the view shows it, as the message may be dropped.
 		out = append(out, TargetLeaving{Target: t.ID, StartedAt: t.StartedAt})
@@ -50,3 +60,11 @@
 		"target", t.ID, "service", t.Service, "per_second", t.announced.RateLimit, "before", old,
 	}}}
 }
+
+// rejectPaused rejects a request because the owner of its key wants none for a
+// time.
+func (b *Balancer) rejectPaused(now core.Instant, t *target) Decision {
+	d := b.rejectOverloaded(now, t, "paused")
+	d.RetryAfter = min(max(t.pausedUntil.Sub(now), minRetryAfter), maxPausedRetryAfter)
+	return d
+}
--- a/internal/balance/announce_test.go
+++ b/internal/balance/announce_test.go
@@ -258,6 +258,37 @@
 	return b.Step(now, AttemptDone{Service: "s", Target: "a", Result: result, Elapsed: time.Millisecond, Announced: &a})
 }
 
+// Guards against requests to a target that has asked for none for a time, and
+// against a target that is left out for longer.
+func TestPausedTargetGetsNoRequests(t *testing.T) {
+	for _, sharded := range []bool{false, true} {
+		is := is.New(t)
+		b := setup{targets: []discovery.Target{warmTarget("a"), warmTarget("b")}, service: routing.Service{Sharded: sharded}}.fleet()[0]
+		if sharded {
+			b.Step(start, OwnersChanged{View: ownedBy("a")})
+		}
+		now := start.Add(time.Second)
+		announce(b, now, Shed, Announcement{Pause: 2 * time.Second})
+		announce(b, now, Shed, Announcement{Pause: time.Second}) // a shorter one doesn't end it
+		for ms := range 1999 {
+			d := selectTarget(b, now.Add(time.Duration(ms)*time.Millisecond))
+			is.True(d.Verdict == Reject || !sharded)
+			is.True(d.Verdict != Send || d.Target.ID == "b")
+			if d.Verdict == Send {
+				b.Step(now, AttemptDone{Service: "s", Target: "b", Result: Cancelled})
+			}
+		}
+		d := selectTarget(b, now.Add(1800*time.Millisecond))
+		is.True(!sharded || d.RetryAfter == 200*time.Millisecond) // the rest of the pause
+		used := false
+		for range 50 {
+			d := selectTarget(b, now.Add(2*time.Second))
+			used = used || d.Target.ID == "a" && d.Verdict == Send
+		}
+		is.True(used)
+	}
+}
+
 // Guards against requests to a target that has announced that it leaves before
 // its registration says so, and against one that is taken out because of the
 // former process of its id.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -302,7 +302,7 @@
 }
 
 func (b *Balancer) available(now core.Instant, t *target) bool {
-	return t.Usable() && !t.unreachable && !t.replaced && !now.Before(t.ejectedUntil)
+	return t.Usable() && !t.unreachable && !t.replaced && !now.Before(t.ejectedUntil) && !now.Before(t.pausedUntil)
 }
 
 func (b *Balancer) full(now core.Instant, t *target, priority int) bool {
@@ -331,6 +331,8 @@
 		return nil, waitForLostOwner(t.ID, "owner-unreachable")
 	case !t.ServesOwnedKeys(now):
 		return nil, waitForMove(req, t.ID, "owner-leaving")
+	case now.Before(t.pausedUntil):
+		return nil, b.rejectPaused(now, t)
 	case b.full(now, t, req.Priority):
 		return nil, b.rejectOverloaded(now, t, "full")
 	case !b.withinRateLimit(now, t):
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -138,6 +138,8 @@
 	RateLimit float64
 	// Leaving is set if the target is about to exit.
 	Leaving bool
+	// Pause is how long the target wants no requests from this VM, or 0.
+	Pause time.Duration
 }
 
 // AttemptDone is the result of an attempt that was sent.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -82,6 +82,8 @@
 	coldLimiter   coldLimiter
 	announced     announced
 	rateLimiter   rateLimiter
+	// pausedUntil is until when the target wants no requests from this VM.
+	pausedUntil core.Instant
 	// knownSince is when this VM learned of the process.
 	knownSince core.Instant
 }
