balance: the parts of a rate limit keep the bound for any subset of the VMs

Cause, found while reading: with a service of more than 12 targets, the VMs that usually send to a target shared the whole limit while the others probed; by calculation the sum reached 7 times the limit in 4 s, where 6 times and 5 requests are allowed.

Change: the rates are what the bound leaves after buckets and probes, in place of a constant for each case.

Measured: TestPartsOfARateLimit adds up the parts for 1 to 300 VMs, each number of usual senders and limits from 0.5 to 1000.

--- a/internal/balance/announce_test.go
+++ b/internal/balance/announce_test.go
@@ -192,6 +192,39 @@
 	}
 }
 
+// Guards against parts of a rate limit whose sum exceeds the limit, whatever part
+// of the VMs usually sends to the target, and against a VM without a part.
+func TestPartsOfARateLimit(t *testing.T) {
+	for _, members := range []int{1, 2, 9, 12, 61, 95, 300} {
+		for users := 1; users <= members; users++ {
+			for _, limit := range []float64{0.5, 1, 4, 22, 80, 1000} {
+				sum := 0.0
+				var slot, turn time.Duration
+				others := 0
+				for rank := range members {
+					p := divideLimit(limit, rank, users, members)
+					if p.probeInterval > 0 {
+						others++
+						slot, turn = p.probeSlot, p.probeInterval
+						continue
+					}
+					if p.perSecond <= 0 || p.burst < 1 {
+						t.Fatalf("limit %v, %d of %d VMs: rank %d has the part %+v", limit, users, members, rank, p)
+					}
+					sum += p.perSecond*limitWindow.Seconds() + p.burst
+				}
+				if others > 0 {
+					turn /= time.Duration(others)
+					sum += min((limitWindow+slot).Seconds()/turn.Seconds(), 3*float64(others))
+				}
+				if allowed := limitOverrun*limit*limitWindow.Seconds() + limitSlack; sum > allowed+1e-3 {
+					t.Fatalf("limit %v, %d of %d VMs: %v requests in 4 s, %v are allowed", limit, users, members, sum, allowed)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a rate limit that turns away callers whom the target would
 // serve: under steady overload it gets half of its limit at least.
 func TestRateLimitIsUsed(t *testing.T) {
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -6,22 +6,23 @@
 	"celeryhook.example/celeryhook/internal/core"
 )
 
-// A target may get 1.5 times its rate limit and 5 requests more in 4 s (LIMIT of
-// the users' rules), summed over the VMs. The VMs don't tell each other what they
-// send, so each has a fixed part of the limit. The constants keep the sum of all
-// rates, buckets and probes below the bound.
 const (
-	// Up to sharersPerLimit times the limit, and baseSharers more, VMs share it, as
-	// each needs a bucket of one request. If that is all VMs, the sum of their rates
-	// is allShare of the limit, as VMs with few callers leave some of theirs; if it
-	// is all that usually send to the target, the limit; otherwise someShare of it.
+	// A target may get boundFactor times its rate limit and boundExtra requests more
+	// in boundWindow, summed over the VMs (LIMIT of the users' rules). The VMs don't
+	// tell each other what they send, so each has a fixed part: the sum of all rates,
+	// buckets and probes stays below the bound.
+	boundFactor = 1.5
+	boundExtra  = 5
+	boundWindow = 4 * time.Second
+	// Up to sharersPerLimit times the limit, and boundExtra more, VMs share it, as
+	// each needs a bucket of one request.
 	sharersPerLimit = 1.2
-	baseSharers     = 5
-	allShare        = 1.2
-	someShare       = 0.7
-	// burstShare is the part of what the bound allows beyond the rates that the
-	// buckets hold together. The rest is for VMs that disagree on the members.
-	burstShare = 0.8
+	// maxShare bounds the sum of their rates, relative to the limit. It exceeds 1, as
+	// VMs with few callers leave some of theirs.
+	maxShare = 1.2
+	// bucketShare is the size of all buckets together, relative to the largest
+	// number of sharers.
+	bucketShare = 0.8
 	// The other VMs send one request each in turn, so that they notice when the
 	// limit has been lifted: together 1/probeDivisor of the limit, each in a slot of
 	// at least minProbeSlot.
@@ -48,25 +49,25 @@
 // divideLimit returns the part of the VM with the given rank, of users that
 // regularly send to the target and members of the deployment.
 func divideLimit(limit float64, rank, users, members int) limitPart {
-	sharers, share := users, 1.0
-	extra := sharersPerLimit*limit + baseSharers
-	switch {
-	case float64(users) > extra:
-		sharers, share = int(extra), someShare
-	case users == members:
-		share = allShare
-	}
-	if rank < sharers {
-		rate := limit * share / float64(sharers)
-		return limitPart{perSecond: rate, burst: max(1, burstShare*extra/float64(sharers))}
-	}
-	others := max(members-sharers, 1)
-	slot := time.Duration(probeDivisor / limit * float64(time.Second))
-	return limitPart{
-		probeInterval: slot * time.Duration(others),
-		probeOffset:   slot * time.Duration(max(0, rank-sharers)%others),
-		probeSlot:     max(slot, minProbeSlot),
+	most := sharersPerLimit*limit + boundExtra
+	sharers := min(users, int(most))
+	others := max(members-sharers, 0)
+	turn := time.Duration(probeDivisor / limit * float64(time.Second))
+	slot := max(turn, minProbeSlot)
+	if rank >= sharers {
+		return limitPart{
+			probeInterval: turn * time.Duration(max(others, 1)),
+			probeOffset:   turn * time.Duration((rank-sharers)%max(others, 1)),
+			probeSlot:     slot,
+		}
 	}
+	window := boundWindow.Seconds()
+	buckets := max(float64(sharers), bucketShare*most)
+	// A window contains or cuts this many slots; each VM sends at most once in each
+	// minProbeSlot.
+	probes := min((window+slot.Seconds())/turn.Seconds(), float64(others)*(window/minProbeSlot.Seconds()+1))
+	rate := min(maxShare*limit, (boundFactor*window*limit+boundExtra-buckets-probes)/window)
+	return limitPart{perSecond: rate / float64(sharers), burst: buckets / float64(sharers)}
 }
 
 // ready adds the tokens earned since the last call and reports whether a request
