replica: an expired position leads to a complete read at once

Cause: a read from before the oldest retained record set the position to -1 for a complete read after a pause. Every Changed of the stream, also one without records, called Reader.Advance with the end of the copy, the expired offset, and so took the -1 away. VMs behind the same gap that follow each other held each other there. The error wasn't reported to the replica either, so that such a VM still counted as a source.

Change: a reader whose position has expired reads the whole stream in the same step, without a pause and without a state that others can reset. If that read fails, it counts as a failed read of the stream.

Evidence: TestExpiredPositionIsReadCompletely (a reader at 50, records from 100 on, another source that repeats 50 every 20 ms): 0 complete reads in 1 s before, 1 after. TestChangeIsKnownAfterItsRecordExpired (9 VMs, the history of all streams is dropped while reads are held): at a phase of 1.87 s v0-0 never knew the change before; all VMs know it within 2 s now, at all 15 phases.

--- a/internal/replica/deployment_test.go
+++ b/internal/replica/deployment_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -43,8 +45,10 @@
 
 // sharedStore is the store of a deployment.
 type sharedStore struct {
-	mu        sync.Mutex
-	records   [NumStreams][]Record
+	mu      sync.Mutex
+	records [NumStreams][]Record
+	// retained is the offset of the first record that reads return.
+	retained  [NumStreams]int64
 	changed   chan struct{}
 	responses map[core.VM]*[NumStreams]response
 	calls     int
@@ -60,6 +64,17 @@
 	return offset
 }
 
+// forget appends a change and drops the history up to and including it. Reads that
+// are held already notice it when their wait ends.
+func (s *sharedStore) forget(stream Stream, value string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := int64(len(s.records[stream]))
+	s.records[stream] = append(s.records[stream], Record{Key: "key", Value: []byte(value), Offset: offset})
+	s.retained[stream] = offset + 1
+	return offset
+}
+
 func (s *sharedStore) setResponse(vm core.VM, r response, streams ...Stream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,10 +87,24 @@
 
 // from returns the records of a stream from an offset on and a channel that is
 // closed when the store changes.
-func (s *sharedStore) from(stream Stream, offset int64) ([]Record, <-chan struct{}) {
+func (s *sharedStore) from(stream Stream, offset int64) ([]Record, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if offset < s.retained[stream] {
+		return nil, nil, ErrExpired
+	}
+	return append([]Record(nil), s.records[stream][min(offset, int64(len(s.records[stream]))):]...), s.changed, nil
+}
+
+// newest returns the newest record of each key and the end of a stream.
+func (s *sharedStore) newest(stream Stream) ([]Record, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Record(nil), s.records[stream][min(offset, int64(len(s.records[stream]))):]...), s.changed
+	newest := make(map[string]Record)
+	for _, r := range s.records[stream] {
+		newest[r.Key] = r
+	}
+	return slices.Collect(maps.Values(newest)), int64(len(s.records[stream]))
 }
 
 func (s *sharedStore) response(vm core.VM, stream Stream) response {
@@ -97,8 +126,16 @@
 }
 
 func (s vmStore) Newest(ctx context.Context, stream Stream) ([]Record, int64, error) {
-	records, next, _, err := s.Read(ctx, stream, 0, 0)
-	return records, next, err
+	time.Sleep(storeLatency)
+	switch s.response(s.vm, stream) {
+	case turnedAway:
+		return nil, 0, errTurnedAway
+	case unanswered:
+		<-ctx.Done()
+		return nil, 0, context.Cause(ctx)
+	}
+	records, next := s.newest(stream)
+	return records, next, nil
 }
 
 func (s vmStore) Read(ctx context.Context, stream Stream, from int64, wait time.Duration) ([]Record, int64, int64, error) {
@@ -112,11 +149,14 @@
 	held := time.NewTimer(wait)
 	defer held.Stop()
 	for expired := false; ; {
-		records, changed := s.from(stream, from)
+		records, changed, err := s.from(stream, from)
 		if s.response(s.vm, stream) == unanswered {
 			<-ctx.Done()
 			return nil, 0, 0, context.Cause(ctx)
 		}
+		if err != nil {
+			return nil, 0, 0, err
+		}
 		if len(records) > 0 || expired {
 			next := from + int64(len(records))
 			return records, next, next, nil
@@ -355,3 +395,28 @@
 		})
 	}
 }
+
+// Guards against VMs that all hold a position before the oldest retained record
+// and never read the store completely, as each of them takes the position that the
+// others report for the end of the stream (macky-brana scale-2: a configuration
+// was not in force until the end of the day).
+func TestChangeIsKnownAfterItsRecordExpired(t *testing.T) {
+	for offset := time.Duration(0); offset < 2500*time.Millisecond; offset += 170 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			d := newDeployment(ctx, 3, 3)
+			time.Sleep(20*time.Second + offset)
+			acknowledged := d.clock()
+			for _, stream := range []Stream{Targets, Owners, Members} {
+				d.store.forget(stream, "changed")
+			}
+			change := d.store.forget(Config, "changed")
+			time.Sleep(2 * configApply)
+			if name, delay := d.latest(Config, change, acknowledged); delay > configApply {
+				t.Errorf("expired at %v: %s knows the change after %v", offset, name, delay)
+			}
+			cancel()
+			time.Sleep(5 * time.Second) // the goroutines of the deployment end
+		})
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -70,7 +70,7 @@
 	enabled toggle
 	// eager is set if other VMs rely on this reader.
 	eager atomic.Bool
-	// next is the offset to read from, or negative for a complete read.
+	// next is the offset to read from, or negative before the first complete read.
 	next atomic.Int64
 	// failing is set while reads fail.
 	failing atomic.Bool
@@ -150,55 +150,70 @@
 }
 
 func (r *Reader) failed(ctx context.Context, err error) {
-	if errors.Is(err, ErrExpired) {
-		r.next.Store(-1)
-	} else {
-		_ = r.out.PutBlocking(ctx, ReadFailed{Stream: r.stream}) // fails only if the context ends
-	}
+	_ = r.out.PutBlocking(ctx, ReadFailed{Stream: r.stream}) // fails only if the context ends
 	if ctx.Err() == nil && !r.failing.Swap(true) {
 		r.log.Info("store lost", "stream", r.stream.String(), "reason", err.Error())
 	}
 }
 
-// read makes one call and reports whether to pause before the next one: it
-// returned the last records of the stream.
+// read reads on from the reader's position, or reads the whole stream if that is
+// not possible. It reports whether to pause before the next read: it returned the
+// last records of the stream.
 func (r *Reader) read(ctx context.Context) (bool, error) {
 	from := r.next.Load()
+	if from < 0 {
+		return r.readAll(ctx)
+	}
+	pause, err := r.readFrom(ctx, from)
+	if errors.Is(err, ErrExpired) {
+		// Nothing that other VMs report may defer the complete read: they may hold
+		// the same position.
+		r.log.Info("position expired, reading the whole stream", "stream", r.stream.String(), "offset", from)
+		return r.readAll(ctx)
+	}
+	return pause, err
+}
+
+func (r *Reader) readAll(ctx context.Context) (bool, error) {
+	b := Batch{Stream: r.stream, Source: fromStore, Complete: true, AsOf: r.clock()}
+	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	var err error
+	if b.Records, b.Next, err = r.store.Newest(callCtx, r.stream); err != nil {
+		return false, err
+	}
+	return false, r.emit(ctx, b)
+}
+
+func (r *Reader) readFrom(ctx context.Context, from int64) (bool, error) {
 	start := r.clock()
+	wait := r.wait(start)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
 	b := Batch{Stream: r.stream, Source: fromStore}
 	var end int64
 	var err error
-	if from < 0 {
-		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-		defer cancel()
-		b.Complete = true
-		b.Records, b.Next, err = r.store.Newest(callCtx, r.stream)
-		b.AsOf = start
-	} else {
-		wait := r.wait(start)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-		defer cancel()
-		b.Records, b.Next, end, err = r.store.Read(callCtx, r.stream, from, wait)
-		switch {
-		case b.Next < end:
-			// A long backlog, as after a partition, takes several reads. The copy is
-			// out of date until the last of them.
-			b.AsOf = 0
-		case len(b.Records) > 0:
-			b.AsOf = max(start, r.clock().Add(-responseDelay))
-		default:
-			b.AsOf = start.Add(wait)
-		}
-	}
-	if err != nil {
+	if b.Records, b.Next, end, err = r.store.Read(callCtx, r.stream, from, wait); err != nil {
 		return false, err
 	}
+	switch {
+	case b.Next < end:
+		// A long backlog, as after a partition, takes several reads. The copy is
+		// out of date until the last of them.
+		b.AsOf = 0
+	case len(b.Records) > 0:
+		b.AsOf = max(start, r.clock().Add(-responseDelay))
+	default:
+		b.AsOf = start.Add(wait)
+	}
+	return len(b.Records) > 0 && b.Next >= end, r.emit(ctx, b)
+}
+
+// emit sends a batch to the replica.
+func (r *Reader) emit(ctx context.Context, b Batch) error {
 	r.asOf = b.AsOf
 	r.Advance(b.Next)
-	if err := r.out.PutBlocking(ctx, Fetched{Batch: b}); err != nil {
-		return false, err
-	}
-	return len(b.Records) > 0 && b.Next >= end, nil
+	return r.out.PutBlocking(ctx, Fetched{Batch: b})
 }
 
 // wait returns how long the store may hold a read that starts now.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ring"
 )
 
@@ -287,3 +289,44 @@
 		is.True(replied && !sent.Reply.Direct)
 	}
 }
+
+// expiredStore has no records before an offset.
+type expiredStore struct {
+	Store
+	retained int64
+	complete chan struct{}
+}
+
+func (s expiredStore) Newest(context.Context, Stream) ([]Record, int64, error) {
+	s.complete <- struct{}{}
+	return []Record{record("a", s.retained-1)}, s.retained, nil
+}
+
+func (s expiredStore) Read(ctx context.Context, _ Stream, from int64, wait time.Duration) ([]Record, int64, int64, error) {
+	if from < s.retained {
+		return nil, 0, 0, ErrExpired
+	}
+	duty.Sleep(ctx, wait)
+	return nil, from, from, nil
+}
+
+// Guards against a reader behind the oldest retained record that makes no complete
+// read while another source repeats the same position.
+func TestExpiredPositionIsReadCompletely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		store := expiredStore{retained: 100, complete: make(chan struct{}, 100)}
+		r := NewReaders(store, ring.New[Message]("test", 1024, ring.Block), duty.NewClock(), logr.Discard())[Config]
+		r.Advance(50)
+		r.SetEnabled(true, false)
+		go r.Run(ctx)
+		for range 50 {
+			time.Sleep(20 * time.Millisecond)
+			r.Advance(50)
+		}
+		cancel()
+		time.Sleep(time.Minute) // the reader ends
+		is.Equal(len(store.complete), 1)
+	})
+}
