--- a/standin/wire/names.go
+++ b/standin/wire/names.go
@@ -27,6 +27,7 @@
 	headerInstance  = "Celeryhook-Instance-Id"
 	headerLoad      = "Celeryhook-Server-Load"
 	headerCold      = "Celeryhook-Cold-Ms"
+	headerEra       = "Store-Era"
 )
 
 // RequestHeader returns the headers of a caller's request. The key has no effect
--- a/standin/wire/store.go
+++ b/standin/wire/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	// changed is closed and replaced at every append.
 	changed chan struct{}
 	calls   int
+	// era is 1 and rises with each restore from a backup.
+	era int64
 }
 
 type topic struct {
@@ -32,7 +35,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: make(map[string]*topic), rejected: make(map[string]bool), changed: make(chan struct{})}
+	return &Store{topics: make(map[string]*topic), rejected: make(map[string]bool), changed: make(chan struct{}), era: 1}
 }
 
 // SetFaults replaces the faults of the store. Only Down, Delay and LoseResponses
@@ -73,6 +76,37 @@
 	t.first = int64(len(t.records))
 }
 
+// Backup is a copy of a store at some time.
+type Backup struct {
+	// ends holds the number of records of each topic.
+	ends map[string]int
+}
+
+// Backup returns a copy of the store.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := Backup{ends: make(map[string]int)}
+	for name, t := range s.topics {
+		b.ends[name] = len(t.records)
+	}
+	return b
+}
+
+// Restore replaces the store by an earlier copy of itself and begins an era. The
+// records since then are lost, and their offsets are assigned again.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.topics {
+		t.records = slices.Clone(t.records[:b.ends[name]])
+		t.first = min(t.first, int64(len(t.records)))
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -82,28 +116,29 @@
 	return t
 }
 
-// append returns the offset of the first new record. If at is not negative and
-// the topic doesn't end there, it appends nothing and returns false.
-func (s *Store) append(name string, records [][]byte, at int64) (int64, bool) {
+// append returns the offset of the first new record and the era. If at is not
+// negative and the topic doesn't end there, it appends nothing and returns false.
+func (s *Store) append(name string, records [][]byte, at int64) (offset, era int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	offset := int64(len(t.records))
+	offset = int64(len(t.records))
 	if at >= 0 && at != offset {
-		return offset, false
+		return offset, s.era, false
 	}
 	t.records = append(t.records, records...)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return offset, true
+	return offset, s.era, true
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	f, rejected := s.faults, s.rejected[hostOf(r.RemoteAddr)]
+	f, rejected, era := s.faults, s.rejected[hostOf(r.RemoteAddr)], s.era
 	s.mu.Unlock()
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
 	if f.Down || rejected {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -141,7 +176,8 @@
 	if q := r.URL.Query().Get("at"); q != "" {
 		at, _ = strconv.ParseInt(q, 10, 64)
 	}
-	offset, ok := s.append(r.URL.Query().Get("topic"), records, at)
+	offset, era, ok := s.append(r.URL.Query().Get("topic"), records, at)
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
 	if !ok {
 		w.WriteHeader(http.StatusPreconditionFailed)
 		respond.JSON(w, map[string]int64{"endOffset": offset})
@@ -171,14 +207,15 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
-		t, changed, down := s.topic(q.Get("topic")), s.changed, s.faults.Down
+		t, changed, down, era := s.topic(q.Get("topic")), s.changed, s.faults.Down, s.era
 		first, records := t.first, t.records
 		s.mu.Unlock()
+		w.Header().Set(headerEra, strconv.FormatInt(era, 10)) // it may have changed while the read was held
 		switch {
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case from < first:
+		case from < first || from > int64(len(records)):
 			w.WriteHeader(http.StatusGone)
 			respond.JSON(w, map[string]int64{"firstOffset": first})
 			return
@@ -238,6 +275,7 @@
 		state[key] = newestRecord{Key: key, Value: b[n:], Offset: int64(i)}
 	}
 	end := int64(len(t.records))
+	w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	items := sortedAfter(state, q.Get("after"))
 	more := len(items) > pageSize
