replica, platform: offsets hold the era of the store

Cause: an offset was taken for something that only grows. A restored store assigns the offsets of the lost records again. Copy.Apply kept the record with the larger offset, so that whatever was written below the old end was skipped, after a complete read too; readers went on from beyond the end, and followers asked each other for records from there.

Change: an offset holds the era of the store above the store's own index, so that the order of offsets is that of eras first, wherever one is stored, compared or sent between VMs; the messages between VMs keep their form. The adapter reads the era from every response; a read from an offset of an earlier era makes the reader read the whole stream. Keys that the store lacks in a new era are kept for 3 s, as operators and targets write again what was lost, and then read once more. Each VM writes its member record again, 10 ms apart. The versions of configurations, and start time and sequence of targets, already kept older content from taking effect.

One line for each stream and VM tells the loss: "store restored from an older copy", with eras and ends; the counter is store_losses.

--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -29,6 +29,8 @@
 		n.log.Info("following other VMs", "on", o.On)
 	case replica.SendReply:
 		o.To <- o.Reply
+	case replica.EraChanged:
+		n.eraChanged(ctx, o)
 	case replica.Changed:
 		n.readers[o.Stream].Advance(o.Next)
 		n.follower.Advance(o.Stream, o.Next)
@@ -36,6 +38,19 @@
 	}
 }
 
+// eraChanged records that the store has lost the newest records of a stream. What
+// this VM wrote to Members is written again at once; the assigner restores Owners,
+// and operators and targets write their own records again.
+func (n *Process) eraChanged(ctx context.Context, e replica.EraChanged) {
+	n.metrics.Count("store_losses", e.Stream.String())
+	n.log.Info("store restored from an older copy", "stream", e.Stream.String(),
+		"era_before", replica.Era(e.Before), "end_before", replica.Index(e.Before),
+		"era", replica.Era(e.After), "end", replica.Index(e.After), "source", e.Source)
+	if e.Stream == replica.Members {
+		_ = n.rosterRing.Put(ctx, roster.RecordsLost{})
+	}
+}
+
 func (n *Process) applyChange(ctx context.Context, c replica.Changed) {
 	// A change of any stream shows that the store is reachable.
 	_ = n.discoveryRing.Put(ctx, discovery.DirectoryRead{AsOf: c.AsOf})
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -2,10 +2,16 @@
 
 import (
 	"sort"
+	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
 )
 
+// rewriteTime is how long after the store was restored from an older copy keys
+// that it lacks are kept. Operators and targets write again what was lost; targets
+// are given about two seconds for it.
+const rewriteTime = 3 * time.Second
+
 // Copy holds the newest known record of each key of the streams. Deleted keys
 // are kept with their offset, so that the deletion reaches followers.
 type Copy struct {
@@ -17,6 +23,8 @@
 	next    int64
 	asOf    core.Instant
 	known   bool
+	// eraSince is when the era of next was first seen.
+	eraSince core.Instant
 }
 
 // NewCopy returns an empty copy.
@@ -31,6 +39,9 @@
 // Apply adds a batch and returns the records that changed, in order of offset.
 func (c *Copy) Apply(b Batch) []Record {
 	s := &c.streams[b.Stream]
+	if !s.known || Era(b.Next) > Era(s.next) {
+		s.eraSince = b.AsOf
+	}
 	var changed []Record
 	seen := make(map[string]bool)
 	for _, r := range b.Records {
@@ -44,7 +55,7 @@
 		changed = append(changed, r)
 	}
 	if b.Complete {
-		changed = append(changed, s.deleteMissing(seen, b.Next)...)
+		changed = append(changed, s.deleteMissing(seen, b)...)
 	}
 	if b.Next > s.next {
 		s.next = b.Next
@@ -58,14 +69,18 @@
 }
 
 // deleteMissing marks the keys that a complete batch lacks as deleted and returns
-// their records.
-func (s *stream) deleteMissing(seen map[string]bool, next int64) []Record {
+// their records. Keys of an earlier era stay until what the store has lost can have
+// been written again.
+func (s *stream) deleteMissing(seen map[string]bool, b Batch) []Record {
 	var deleted []Record
 	for key, old := range s.records {
-		if seen[key] || old.Deleted || old.Offset >= next {
+		if seen[key] || old.Deleted || old.Offset >= b.Next {
+			continue
+		}
+		if Era(old.Offset) < Era(b.Next) && b.AsOf.Sub(s.eraSince) < rewriteTime {
 			continue
 		}
-		r := Record{Key: key, Offset: next - 1, Deleted: true}
+		r := Record{Key: key, Offset: b.Next - 1, Deleted: true}
 		s.records[key] = r
 		deleted = append(deleted, r)
 	}
--- a/internal/replica/deployment_test.go
+++ b/internal/replica/deployment_test.go
@@ -48,7 +48,9 @@
 	mu      sync.Mutex
 	records [NumStreams][]Record
 	// retained is the offset of the first record that reads return.
-	retained  [NumStreams]int64
+	retained [NumStreams]int64
+	// era rises when records are lost.
+	era       int64
 	changed   chan struct{}
 	responses map[core.VM]*[NumStreams]response
 	calls     int
@@ -57,21 +59,37 @@
 func (s *sharedStore) append(stream Stream, value string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	offset := int64(len(s.records[stream]))
+	offset := NewOffset(s.era, int64(len(s.records[stream])))
 	s.records[stream] = append(s.records[stream], Record{Key: "key", Value: []byte(value), Offset: offset})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return offset
 }
 
+// lose restores the store from a copy that lacks the last records of each stream.
+func (s *sharedStore) lose(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for i, records := range s.records {
+		kept := slices.Clone(records[:max(0, len(records)-count)])
+		for j := range kept {
+			kept[j].Offset = NewOffset(s.era, int64(j))
+		}
+		s.records[i], s.retained[i] = kept, min(s.retained[i], int64(len(kept)))
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // forget appends a change and drops the history up to and including it. Reads that
 // are held already notice it when their wait ends.
 func (s *sharedStore) forget(stream Stream, value string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	offset := int64(len(s.records[stream]))
+	offset := NewOffset(s.era, int64(len(s.records[stream])))
 	s.records[stream] = append(s.records[stream], Record{Key: "key", Value: []byte(value), Offset: offset})
-	s.retained[stream] = offset + 1
+	s.retained[stream] = Index(offset) + 1
 	return offset
 }
 
@@ -90,10 +108,13 @@
 func (s *sharedStore) from(stream Stream, offset int64) ([]Record, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if offset < s.retained[stream] {
+	switch end := int64(len(s.records[stream])); {
+	case Index(offset) < s.retained[stream] || Index(offset) > end:
 		return nil, nil, ErrExpired
+	case Era(offset) != s.era:
+		return nil, nil, ErrEraChanged
 	}
-	return append([]Record(nil), s.records[stream][min(offset, int64(len(s.records[stream]))):]...), s.changed, nil
+	return append([]Record(nil), s.records[stream][Index(offset):]...), s.changed, nil
 }
 
 // newest returns the newest record of each key and the end of a stream.
@@ -104,7 +125,7 @@
 	for _, r := range s.records[stream] {
 		newest[r.Key] = r
 	}
-	return slices.Collect(maps.Values(newest)), int64(len(s.records[stream]))
+	return slices.Collect(maps.Values(newest)), NewOffset(s.era, int64(len(s.records[stream])))
 }
 
 func (s *sharedStore) response(vm core.VM, stream Stream) response {
@@ -420,3 +441,47 @@
 		})
 	}
 }
+
+// Guards against a change that is not known in time after the store came back from
+// an older copy of itself, also if a VM notices late, and twice in a row
+// (macky-brana restored).
+func TestChangeIsKnownAfterARestore(t *testing.T) {
+	tests := []struct {
+		name     string
+		affected func(v *vm) bool
+	}{
+		{"no other fault", func(*vm) bool { return false }},
+		{"readers turned away", func(v *vm) bool { return v.rank == 0 }},
+		{"readers of two failure domains turned away", func(v *vm) bool { return v.rank == 0 && v.domain > 0 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for lost := 1; lost <= 12; lost++ {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(context.Background())
+					d := newDeployment(ctx, 3, 3)
+					time.Sleep(20*time.Second + time.Duration(lost)*170*time.Millisecond)
+					for range lost {
+						d.store.append(Config, "lost")
+					}
+					time.Sleep(time.Duration(lost) * 110 * time.Millisecond)
+					d.disturb(test.affected, turnedAway, Config, Targets, Owners, Members)
+					d.store.lose(lost)
+					time.Sleep(time.Duration(lost%3) * time.Second)
+					if lost%2 == 0 {
+						d.store.append(Config, "lost in the second restore")
+						d.store.lose(1)
+					}
+					acknowledged := d.clock()
+					change := d.store.append(Config, "changed")
+					time.Sleep(2 * configApply)
+					if name, delay := d.latest(Config, change, acknowledged); delay > configApply {
+						t.Errorf("%d records lost: %s knows the change after %v", lost, name, delay)
+					}
+					cancel()
+					time.Sleep(5 * time.Second) // the goroutines of the deployment end
+				})
+			}
+		})
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -52,6 +52,9 @@
 	// outageBackoff is the pause of the readers of other streams while that of
 	// Owners fails as well.
 	outageBackoff = 1200 * time.Millisecond
+	// recheckMargin is how long after rewriteTime a stream is read completely once
+	// more. It covers the time from the first sight of an era at another VM.
+	recheckMargin = 500 * time.Millisecond
 	// lazyBackoff is the pause of a reader that is not eager. In an outage all
 	// VMs may read the store at the same time.
 	lazyBackoff = 2500 * time.Millisecond
@@ -76,6 +79,12 @@
 	failing atomic.Bool
 	// asOf is the time as of which the last response was current. Only Run uses it.
 	asOf core.Instant
+	// era is the era of the last read, or negative before the first one. Only
+	// Run uses it.
+	era int64
+	// recheckAt is when the stream is to be read completely once more, or 0. Only
+	// Run uses it.
+	recheckAt core.Instant
 	// ownersReader is the reader of Owners, which retries most often while the
 	// store is unreachable; nil in that reader itself.
 	ownersReader *Reader
@@ -87,7 +96,7 @@
 func NewReaders(store Store, out *ring.Ring[Message], clock duty.Clock, log logr.Logger) [NumStreams]*Reader {
 	var all [NumStreams]*Reader
 	for i := range all {
-		all[i] = &Reader{stream: Stream(i), store: store, out: out, clock: clock, log: log, enabled: newToggle()}
+		all[i] = &Reader{stream: Stream(i), store: store, out: out, clock: clock, log: log, enabled: newToggle(), era: -1}
 		all[i].next.Store(-1)
 	}
 	for _, r := range all {
@@ -161,19 +170,26 @@
 // last records of the stream.
 func (r *Reader) read(ctx context.Context) (bool, error) {
 	from := r.next.Load()
-	if from < 0 {
+	if r.needsAll(from) {
 		return r.readAll(ctx)
 	}
+	r.era = Era(from)
 	pause, err := r.readFrom(ctx, from)
-	if errors.Is(err, ErrExpired) {
+	if errors.Is(err, ErrExpired) || errors.Is(err, ErrEraChanged) {
 		// Nothing that other VMs report may defer the complete read: they may hold
 		// the same position.
-		r.log.Info("position expired, reading the whole stream", "stream", r.stream.String(), "offset", from)
+		r.log.Info("reading the whole stream", "stream", r.stream.String(), "era", Era(from), "index", Index(from), "reason", err.Error())
 		return r.readAll(ctx)
 	}
 	return pause, err
 }
 
+// needsAll reports whether the whole stream has to be read: at the start, in a new
+// era of the store, and once more when what was lost has been written again.
+func (r *Reader) needsAll(from int64) bool {
+	return from < 0 || r.era >= 0 && Era(from) != r.era || r.recheckAt != 0 && !r.clock().Before(r.recheckAt)
+}
+
 func (r *Reader) readAll(ctx context.Context) (bool, error) {
 	b := Batch{Stream: r.stream, Source: fromStore, Complete: true, AsOf: r.clock()}
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -182,6 +198,13 @@
 	if b.Records, b.Next, err = r.store.Newest(callCtx, r.stream); err != nil {
 		return false, err
 	}
+	r.recheckAt = 0
+	if era := Era(b.Next); era != r.era {
+		if r.era >= 0 {
+			r.recheckAt = r.clock().Add(rewriteTime + recheckMargin)
+		}
+		r.era = era
+	}
 	return false, r.emit(ctx, b)
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -49,6 +49,28 @@
 	is.True(since[0].Deleted)
 }
 
+// Guards against a record that a restored store assigned a known offset, and that is
+// skipped for it; and against keys that are deleted before operators and targets
+// can have written again what the store lost, or that are never deleted.
+func TestCopyFollowsARestoredStore(t *testing.T) {
+	is := is.New(t)
+	c := NewCopy()
+	at := func(era, index int64, key string) Record { return record(key, NewOffset(era, index)) }
+	c.Apply(Batch{Stream: Config, Records: []Record{at(1, 0, "a"), at(1, 3, "b")}, Next: NewOffset(1, 4), AsOf: start})
+	now := start.Add(time.Minute)
+	changed := c.Apply(Batch{Stream: Config, Records: []Record{at(2, 0, "a")}, Next: NewOffset(2, 1), Complete: true, AsOf: now})
+	is.Equal(len(changed), 1) // b isn't deleted
+	is.Equal(len(c.Since(Config, NewOffset(1, 1))), 2)
+	asOf, _ := c.AsOf(Config)
+	is.Equal(asOf, now)
+	changed = c.Apply(Batch{Stream: Config, Records: []Record{at(2, 1, "a")}, Next: NewOffset(2, 2), AsOf: now})
+	is.Equal(len(changed), 1) // written at an index that was known in the first era
+	is.Equal(len(c.Apply(Batch{Stream: Config, Records: []Record{at(1, 9, "a")}, Next: NewOffset(1, 10), AsOf: now})), 0)
+	changed = c.Apply(Batch{Stream: Config, Records: []Record{at(2, 1, "a")}, Next: NewOffset(2, 2), Complete: true, AsOf: now.Add(rewriteTime)})
+	is.Equal(len(changed), 1)
+	is.True(changed[0].Deleted && changed[0].Key == "b")
+}
+
 // fetchAll applies an empty batch of each stream.
 func fetchAll(r *Replica, at core.Instant, source string) []Output {
 	var out []Output
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -95,6 +95,15 @@
 	Source  string
 }
 
+// EraChanged reports that the store was restored from an older copy of itself, and
+// lost the newest records of a stream. Before and After are the ends of the stream
+// in this VM's copy.
+type EraChanged struct {
+	Stream        Stream
+	Before, After int64
+	Source        string
+}
+
 // SendReply sends a SyncReply to the follower that requested it.
 type SendReply struct {
 	To    chan<- SyncReply
@@ -109,6 +118,7 @@
 type SetFollowing struct{ On bool }
 
 func (Changed) output()      {}
+func (EraChanged) output()   {}
 func (SendReply) output()    {}
 func (SetReading) output()   {}
 func (SetFollowing) output() {}
@@ -165,9 +175,15 @@
 }
 
 func (r *Replica) apply(b Batch) []Output {
+	before := r.copy.Next(b.Stream)
+	_, known := r.copy.AsOf(b.Stream)
 	changed := r.copy.Apply(b)
 	asOf, _ := r.copy.AsOf(b.Stream)
-	return []Output{Changed{Stream: b.Stream, Records: changed, Next: r.copy.Next(b.Stream), AsOf: asOf, Source: b.Source}}
+	var out []Output
+	if next := r.copy.Next(b.Stream); known && Era(next) != Era(before) {
+		out = append(out, EraChanged{Stream: b.Stream, Before: before, After: next, Source: b.Source})
+	}
+	return append(out, Changed{Stream: b.Stream, Records: changed, Next: r.copy.Next(b.Stream), AsOf: asOf, Source: b.Source})
 }
 
 // sendReplies replies to the followers that lack records or whose wait has
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -41,14 +41,16 @@
 var (
 	// ErrExpired is returned by a read from before the oldest retained record.
 	ErrExpired = errors.New("replica: records expired")
+	// ErrEraChanged is returned by a read from an offset of an earlier era.
+	ErrEraChanged = errors.New("replica: the store has been restored from an older copy")
 	// ErrConflict is returned by an append whose offset is not the end of the
 	// stream.
 	ErrConflict = errors.New("replica: append offset is not the end of the stream")
 )
 
-// Store is the part of the platform's store that this package uses. Its errors
-// name the call. Of the errors of Append, only ErrConflict guarantees that nothing
-// was written.
+// Store is the part of the platform's store that this package uses. Its offsets
+// hold the era of the store (NewOffset). Its errors name the call. Of the errors of
+// Append, only ErrConflict guarantees that nothing was written.
 type Store interface {
 	// Newest returns the newest record of each key, and the offset from which
 	// Read continues.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -78,3 +78,28 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against a member whose record stays lost after the store was restored from
+// an older copy, and against VMs that all write at once then.
+func TestRecordIsWrittenAgainAfterALoss(t *testing.T) {
+	is := is.New(t)
+	writes := make(map[core.Instant]int)
+	for _, self := range []string{"a", "b", "c", "d"} {
+		d := NewDuty(member(self, "x", 1))
+		d.Step(start, Tick{})
+		for _, other := range []string{"a", "b", "c", "d"} {
+			d.Step(start, RecordRead{Member: member(other, "x", 1)})
+		}
+		d.Step(start, Tick{})
+		now := start.Add(time.Second)
+		out := d.Step(now, RecordsLost{})
+		for ; len(out) == 0 && now.Sub(start) < RenewInterval; now = now.Add(time.Millisecond) {
+			out = d.Step(now, Tick{})
+		}
+		is.Equal(len(out), 1)
+		is.Equal(out[0], WriteRecord{Member: member(self, "x", 1)})
+		is.True(now.Sub(start) < 2*time.Second)
+		writes[now]++
+	}
+	is.Equal(len(writes), 4)
+}
--- a/internal/roster/step.go
+++ b/internal/roster/step.go
@@ -22,14 +22,30 @@
 // WriteFailed reports that this VM's record could not be written.
 type WriteFailed struct{}
 
+// RecordsLost reports that the store has lost its newest records, perhaps this
+// VM's one among them.
+type RecordsLost struct{}
+
 func (RecordRead) message()    {}
 func (RecordDeleted) message() {}
 func (Tick) message()          {}
 func (WriteFailed) message()   {}
+func (RecordsLost) message()   {}
 
 // writeRetryDelay is the delay before a failed write is retried.
 const writeRetryDelay = 500 * time.Millisecond
 
+const (
+	// rewriteInterval is the time between the writes of two VMs after the store has
+	// lost records, so that not all of them write at once. maxRewriteDelay bounds the
+	// delay of the last one: records are kept for 3 s.
+	rewriteInterval = 10 * time.Millisecond
+	maxRewriteDelay = 2 * time.Second
+)
+
+// rewriteKey ranks the VMs for writing their records again.
+const rewriteKey = "rewrite"
+
 // Output is an action that the duty requests.
 type Output interface{ output() }
 
@@ -47,6 +63,8 @@
 	self      Member
 	roster    *Roster
 	lastWrite core.Instant
+	// view is the last one that was published, or nil.
+	view *View
 }
 
 // NewDuty returns a duty that knows only this VM.
@@ -65,6 +83,12 @@
 		}
 	case WriteFailed:
 		d.lastWrite = now.Add(writeRetryDelay - RenewInterval)
+	case RecordsLost:
+		delay := time.Duration(0)
+		if d.view != nil {
+			delay = min(time.Duration(d.view.Rank(rewriteKey, ""))*rewriteInterval, maxRewriteDelay)
+		}
+		d.lastWrite = now.Add(delay - RenewInterval)
 	}
 	var out []Output
 	if d.lastWrite == 0 || now.Sub(d.lastWrite) >= RenewInterval {
@@ -74,7 +98,8 @@
 	// Changes are published only on Tick, so that the many records of a full read
 	// make one view.
 	if _, tick := m.(Tick); tick && d.roster.Changed() {
-		out = append(out, ViewUpdated{View: d.roster.View()})
+		d.view = d.roster.View()
+		out = append(out, ViewUpdated{View: d.view})
 	}
 	return out
 }
