ownership: the ledger is restored after the store has lost its newest records

An older copy of the ledger would also have been taken for the newest state: keys moved by lost records back to their former owners.

Change: - Tokens hold the era, so that no token falls or is given out again. - A VM keeps the ledger that it knew, as in an outage, until a leader has written the whole ledger again in the new era; grants go on being renewed by majority. - The leader writes it at once if all VMs agree that they know nothing newer. Another VM, or one with only a majority behind it, writes it as confirmed by a majority: grants are renewed, no keys are moved. With fewer, as after all VMs restarted, it is unconfirmed: nothing is renewed. - What isn't confirmed by all is written once more with new tokens when every grant under a lost record has expired: as with lost holders, a majority has applied the ledger, and the longest grant and the bounds on ages have passed. - Records state the era for which they were written.

The target's check now also rejects a token that another target has had.

--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -126,7 +126,7 @@
 	}
 	view := n.ledger.View()
 	n.owners.Store(view)
-	m := ownership.LedgerChanged{View: view, AsOf: c.AsOf, LeaderWrote: len(c.Records) > 0}
+	m := ownership.LedgerChanged{View: view, AsOf: c.AsOf, LeaderWrote: len(c.Records) > 0 && view.InForce()}
 	_ = n.renewerRing.Put(ctx, m)
 	_ = n.assignerRing.Put(ctx, m)
 	if len(c.Records) > 0 {
@@ -211,6 +211,8 @@
 		n.grant(ctx, o)
 	case ownership.QueryGrantExpiry:
 		n.queryGrantExpiry(ctx, o)
+	case ownership.CheckQuorum:
+		n.checkQuorum(ctx, o, n.assignerRing)
 	}
 }
 
@@ -221,7 +223,7 @@
 	case ownership.SendReply:
 		o.To <- o.Reply
 	case ownership.CheckQuorum:
-		n.checkQuorum(ctx, o)
+		n.checkQuorum(ctx, o, n.renewerRing)
 	case ownership.Renew:
 		n.renew(ctx, o)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,6 +11,7 @@
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/replica"
+	"celeryhook.example/celeryhook/internal/ring"
 	"celeryhook.example/celeryhook/internal/roster"
 )
 
@@ -89,10 +90,11 @@
 	}
 }
 
-// checkQuorum counts the other members that know no newer record.
-func (n *Process) checkQuorum(ctx context.Context, o ownership.CheckQuorum) {
+// checkQuorum counts the other members that know no newer record and those that
+// know one, and sends the result to the duty that asked.
+func (n *Process) checkQuorum(ctx context.Context, o ownership.CheckQuorum, to *ring.Ring[ownership.Message]) {
 	started := n.clock()
-	var agreeing atomic.Int32
+	var agreeing, newer atomic.Int32
 	var pending sync.WaitGroup
 	for _, m := range o.Members {
 		if m.VM == n.self.VM {
@@ -103,8 +105,13 @@
 			defer pending.Done()
 			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			if r, err := n.mesh.QueryGrant(callCtx, m, "", o.Next+1); err == nil && r.NothingNewer {
+			switch r, err := n.mesh.QueryGrant(callCtx, m, "", o.Next+1); {
+			case err != nil:
+				n.metrics.Count("settles_failed")
+			case r.NothingNewer:
 				agreeing.Add(1)
+			case r.Applied:
+				newer.Add(1)
 			}
 		})
 		if err != nil {
@@ -113,7 +120,7 @@
 	}
 	go func() {
 		pending.Wait()
-		_ = n.renewerRing.Put(ctx, ownership.QuorumResult{Started: started, Agreeing: int(agreeing.Load())})
+		_ = to.Put(ctx, ownership.QuorumResult{Started: started, Agreeing: int(agreeing.Load()), Newer: int(newer.Load())})
 	}()
 }
 
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -146,7 +146,7 @@
 	go duty.New("roster", n.clock, n.rosterRing, roster.NewDuty(n.self), n.emitRoster, roster.Message(roster.Tick{}), 0).Run(ctx)
 	go duty.New("balance", n.clock, n.balanceRing, balance.New(n.settings.FailureDomain, n.settings.Retry, random),
 		n.emitBalance, balance.Message(balance.Tick{}), tickInterval).Run(ctx)
-	assigner := ownership.NewAssigner(ownership.Leader{VM: n.self.VM, Incarnation: n.self.Incarnation})
+	assigner := ownership.NewAssigner(ownership.Leader{VM: n.self.VM, Incarnation: n.self.Incarnation}, n.settings.FirstStart)
 	go duty.New("assigner", n.clock, n.assignerRing, assigner, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("keeper", n.clock, n.renewerRing, ownership.NewRenewer(n.clock()), n.emitRenewer, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	for _, r := range n.readers {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -34,6 +34,8 @@
 	Retry       balance.RetryLimits
 	// MaxGrant is the longest grant that targets accept; 0 means no limit.
 	MaxGrant time.Duration
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
 	// Capacity is the VM's processor time in cores.
 	Capacity float64
 }
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -15,12 +15,18 @@
 // leader, and carries out the moves recorded there.
 type Assigner struct {
 	self Leader
+	// firstStart is set if the whole deployment starts for the first time.
+	firstStart bool
+	startedAt  core.Instant
 
-	ledger   *View
-	asOf     core.Instant
-	targets  *discovery.View
-	members  *roster.View
-	services map[core.Service]routing.Service
+	ledger *View
+	// asOf is when the ledger was last known to be current, and streamAsOf the same
+	// of the stream, which the ledger may not be restored in.
+	asOf       core.Instant
+	streamAsOf core.Instant
+	targets    *discovery.View
+	members    *roster.View
+	services   map[core.Service]routing.Service
 
 	leading bool
 	// leaderSeen is when the leader, this VM or another one, last appended.
@@ -32,6 +38,9 @@
 	appendedEnd   int64
 	appendedAt    core.Instant
 	appendRetryAt core.Instant
+	restoration   restoration
+	// rewrittenTo is the last View.Overwritten that this VM has acted on.
+	rewrittenTo int64
 
 	firstSeen     map[core.Service]core.Instant
 	lastChange    map[core.Service]core.Instant
@@ -45,10 +54,11 @@
 	movedAt       map[core.Service]*[Units]core.Instant
 }
 
-// NewAssigner returns an assigner that is not the leader.
-func NewAssigner(self Leader) *Assigner {
+// NewAssigner returns an assigner that is not the leader. FirstStart is set if the
+// whole deployment starts for the first time, so that no target holds keys.
+func NewAssigner(self Leader, firstStart bool) *Assigner {
 	return &Assigner{
-		self: self, ledger: &View{}, targets: &discovery.View{},
+		self: self, firstStart: firstStart, ledger: &View{}, targets: &discovery.View{},
 		firstSeen:     make(map[core.Service]core.Instant),
 		lastChange:    make(map[core.Service]core.Instant),
 		targetCount:   make(map[core.Service]int),
@@ -62,6 +72,9 @@
 
 // Step implements duty.Step.
 func (a *Assigner) Step(now core.Instant, m Message) []Output {
+	if a.startedAt == 0 {
+		a.startedAt = now
+	}
 	var out []Output
 	switch m := m.(type) {
 	case LedgerChanged:
@@ -85,10 +98,20 @@
 		out = a.granted(now, m)
 	case GrantExpiry:
 		out = a.grantExpiry(now, m)
+	case QuorumResult:
+		out = a.quorumResult(now, m)
 	case Tick:
 	}
+	if !a.ledger.InForce() {
+		return append(out, a.restoreLedger(now)...)
+	}
 	out = append(out, a.maintainLeadership(now)...)
-	if a.leading {
+	switch {
+	case !a.leading || a.members == nil:
+	case a.ledger.Restored != ConfirmedByAll:
+		out = append(out, a.confirmLedger(now)...)
+	default:
+		out = append(out, a.rewriteOverwritten(now)...)
 		out = append(out, a.advance(now)...)
 	}
 	return out
@@ -96,11 +119,17 @@
 
 func (a *Assigner) ledgerChanged(now core.Instant, m LedgerChanged) []Output {
 	changed := m.View.Next != a.ledger.Next
-	a.ledger, a.asOf = m.View, m.AsOf
+	a.ledger, a.streamAsOf = m.View, m.AsOf
+	if a.ledger.InForce() {
+		a.asOf = m.AsOf
+	}
+	if a.ledger.Restored == ConfirmedByAll || !a.ledger.InForce() {
+		a.restoration.wait = nil
+	}
 	if m.LeaderWrote {
 		a.leaderSeen = now
 	}
-	if a.appendedEnd > 0 && a.ledger.Next >= a.appendedEnd {
+	if a.appendedEnd > 0 && a.ledger.StreamEnd >= a.appendedEnd {
 		a.appendPending, a.appendedEnd = false, 0
 	}
 	leads := a.ledger.Leader == a.self
@@ -193,7 +222,7 @@
 }
 
 func (a *Assigner) appendLeader(now core.Instant) []Output {
-	r, err := encodeLeader(a.self, a.grantDuration())
+	r, err := encodeLeader(a.self, a.grantDuration(), replica.Era(a.ledger.StreamEnd), a.ledger.Restored)
 	if err != nil {
 		return []Output{Event{Text: "failed to encode leader record", Fields: []any{"reason", err.Error()}}}
 	}
@@ -214,11 +243,11 @@
 
 func (a *Assigner) append(now core.Instant, records []replica.Record) []Output {
 	a.appendPending, a.appendedAt = true, now
-	return []Output{Append{At: a.ledger.Next, Records: records}}
+	return []Output{Append{At: a.ledger.StreamEnd, Records: records}}
 }
 
 func (a *Assigner) appended(now core.Instant, m Appended) []Output {
-	if m.Err == nil && a.ledger.Next < m.Next {
+	if m.Err == nil && a.ledger.StreamEnd < m.Next {
 		a.appendedEnd = m.Next
 		return nil
 	}
--- a/internal/ownership/assignments.go
+++ b/internal/ownership/assignments.go
@@ -77,6 +77,22 @@
 	return &Assignments{index: a.index, table: slices.Clone(a.table), ids: maps.Clone(a.ids)}
 }
 
+// withToken returns a copy in which every unit that has an owner has the given
+// fencing token.
+func (a *Assignments) withToken(token int64) *Assignments {
+	out := NewAssignments()
+	for ar := range a.Ranges() {
+		if ar.Assignment.Owner.IsZero() {
+			continue
+		}
+		ar.Assignment.Token = token
+		for u := ar.From; u <= ar.To; u++ {
+			out.Set(u, ar.Assignment)
+		}
+	}
+	return out
+}
+
 func (a *Assignments) compact() *Assignments {
 	compacted := NewAssignments()
 	for ar := range a.Ranges() {
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -20,15 +20,29 @@
 // targets that check fencing tokens, all on one virtual clock. It records every
 // violation of single ownership.
 type cluster struct {
-	now        core.Instant
-	rng        *rand.Rand
-	events     eventqueue.Queue
-	log        []replica.Record
-	storeUp    bool
-	vms        []*simVM
-	targets    []*simTarget
-	violations []string
-	trace      []string
+	now    core.Instant
+	rng    *rand.Rand
+	events eventqueue.Queue
+	log    []replica.Record
+	// era is the era of the store, and loggedAt is when each record was appended.
+	era      int64
+	loggedAt []core.Instant
+	storeUp  bool
+	// losses is set if the faults include losses of the store's newest records.
+	losses bool
+	// started is set once the VMs have started for the first time.
+	started bool
+	// holds is the grant with the highest token that any target accepted.
+	holds [Units]struct {
+		token  int64
+		holder string
+	}
+	// distinguishProcesses is set if two processes of a target count as two holders.
+	distinguishProcesses bool
+	vms                  []*simVM
+	targets              []*simTarget
+	violations           []string
+	trace                []string
 }
 
 type simVM struct {
@@ -44,7 +58,9 @@
 	ledger       *Ledger
 	asOf         core.Instant
 	applied      []replica.Record
-	directoryAt  core.Instant
+	// era is the era of applied.
+	era         int64
+	directoryAt core.Instant
 }
 
 type simTarget struct {
@@ -63,7 +79,7 @@
 }
 
 func newCluster(seed uint64, vms, targets int) *cluster {
-	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), storeUp: true, now: core.Instant(time.Hour)}
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 1)), storeUp: true, now: core.Instant(time.Hour), era: 1}
 	for i := range targets {
 		t := &simTarget{id: core.Target(fmt.Sprintf("t%d", i)), cutOffFrom: map[core.VM]bool{}, clockFactor: 1 + 0.02*c.rng.Float64()}
 		c.targets = append(c.targets, t)
@@ -74,6 +90,7 @@
 		c.vms = append(c.vms, v)
 		v.start()
 	}
+	c.started = true
 	c.every(200*time.Millisecond, c.updateRegistrations)
 	return c
 }
@@ -135,9 +152,9 @@
 func (v *simVM) start() {
 	v.up = true
 	v.incarnation = int64(v.now)
-	v.assigner = NewAssigner(Leader{VM: v.name, Incarnation: v.incarnation})
+	v.assigner = NewAssigner(Leader{VM: v.name, Incarnation: v.incarnation}, !v.started)
 	v.renewer = NewRenewer(v.now)
-	v.ledger, v.asOf, v.applied, v.directoryAt = NewLedger(), 0, nil, 0
+	v.ledger, v.asOf, v.applied, v.era, v.directoryAt = NewLedger(), 0, nil, 0, 0
 	incarnation := v.incarnation
 	alive := func() bool { return v.up && v.incarnation == incarnation }
 	v.post(incarnation, v.services())
@@ -183,26 +200,56 @@
 func (v *simVM) refresh() {
 	switch {
 	case v.reachesStore && v.storeUp:
-		v.applyLog(v.log, v.now)
+		v.applyLog(v.cluster.era, v.log, v.now)
 		v.readDirectory()
 	case v.reachesPeers:
 		for _, o := range v.vms {
-			if o != v && o.up && o.reachesPeers && o.asOf > v.asOf && len(o.applied) >= len(v.applied) {
-				v.applyLog(o.applied, o.asOf)
+			if o != v && o.up && o.reachesPeers && o.asOf > v.asOf && replica.NewOffset(o.era, int64(len(o.applied))) >= replica.NewOffset(v.era, int64(len(v.applied))) {
+				v.applyLog(o.era, o.applied, o.asOf)
 				return
 			}
 		}
 	}
 }
 
-func (v *simVM) applyLog(log []replica.Record, asOf core.Instant) {
-	fresh := log[len(v.applied):]
-	v.applied = log[:len(log):len(log)]
-	if err := v.ledger.Apply(fresh, int64(len(log))); err != nil {
-		v.violations = append(v.violations, err.Error())
+func (v *simVM) applyLog(era int64, log []replica.Record, asOf core.Instant) {
+	fresh := log
+	if era == v.era {
+		fresh = log[len(v.applied):]
+	}
+	v.era, v.applied = era, log[:len(log):len(log)]
+	if err := v.ledger.Apply(fresh, replica.NewOffset(era, int64(len(log)))); err != nil {
+		v.ledgerError(err)
 	}
 	v.asOf = asOf
-	v.step(LedgerChanged{View: v.ledger.View(), AsOf: asOf, LeaderWrote: len(fresh) > 0})
+	view := v.ledger.View()
+	v.step(LedgerChanged{View: view, AsOf: asOf, LeaderWrote: len(fresh) > 0 && view.InForce()})
+}
+
+// ledgerError records an error as a violation, unless records of an earlier era are
+// to be expected.
+func (v *simVM) ledgerError(err error) {
+	if v.era > 1 {
+		v.tracef("%s: %v", v.name, err)
+		return
+	}
+	v.violations = append(v.violations, err.Error())
+}
+
+// loseRecords restores the store from a copy of the given age.
+func (c *cluster) loseRecords(age time.Duration) {
+	kept := 0
+	for kept < len(c.log) && c.now.Sub(c.loggedAt[kept]) > age {
+		kept++
+	}
+	c.tracef("store restored from a copy %v old: %d of %d records are kept", age, kept, len(c.log))
+	c.era++
+	log := make([]replica.Record, kept)
+	for i, r := range c.log[:kept] {
+		r.Offset = replica.NewOffset(c.era, int64(i))
+		log[i] = r
+	}
+	c.log, c.loggedAt = log, c.loggedAt[:kept:kept]
 }
 
 func (v *simVM) readDirectory() {
@@ -223,13 +270,13 @@
 // outputs.
 func (v *simVM) step(m Message) {
 	switch m.(type) {
-	case Renewed, GrantSent, QuorumResult, GrantQuery, DirectoryRead, GrantMissing:
-		v.emit(v.renewer.Step(v.now, m))
+	case Renewed, GrantSent, GrantQuery, DirectoryRead, GrantMissing:
+		v.emit(v.renewer, v.renewer.Step(v.now, m))
 	case Appended, Released, Granted, GrantExpiry, ServicesChanged, LoadReport, Unreachable:
-		v.emit(v.assigner.Step(v.now, m))
+		v.emit(v.assigner, v.assigner.Step(v.now, m))
 	default:
-		v.emit(v.renewer.Step(v.now, m))
-		v.emit(v.assigner.Step(v.now, m))
+		v.emit(v.renewer, v.renewer.Step(v.now, m))
+		v.emit(v.assigner, v.assigner.Step(v.now, m))
 	}
 }
 
@@ -240,7 +287,19 @@
 	}
 }
 
-func (v *simVM) emit(out []Output) {
+// stepper is the Assigner or the Renewer.
+type stepper interface {
+	Step(now core.Instant, m Message) []Output
+}
+
+// postTo delivers a message to one of the state machines.
+func (v *simVM) postTo(to stepper, incarnation int64, m Message) {
+	if v.up && v.incarnation == incarnation {
+		v.emit(to, to.Step(v.now, m))
+	}
+}
+
+func (v *simVM) emit(from stepper, out []Output) {
 	incarnation := v.incarnation
 	for _, o := range out {
 		switch o := o.(type) {
@@ -265,7 +324,7 @@
 		case QueryGrantExpiry:
 			v.queryGrantExpiry(incarnation, o)
 		case CheckQuorum:
-			v.checkQuorum(incarnation, o)
+			v.checkQuorum(from, incarnation, o)
 		}
 	}
 }
@@ -277,15 +336,20 @@
 			v.after(300*time.Millisecond, func() { v.post(incarnation, Appended{Err: fmt.Errorf("no response")}) })
 			return
 		}
-		if int64(len(v.log)) != o.At {
+		// The condition of an append doesn't name the era.
+		if int64(len(v.log)) != replica.Index(o.At) {
 			v.after(v.oneWayDelay(), func() { v.post(incarnation, Appended{Err: replica.ErrConflict}) })
 			return
 		}
 		for _, r := range o.Records {
-			r.Offset = int64(len(v.log))
-			v.log = append(v.log, r)
+			r.Offset = replica.NewOffset(v.cluster.era, int64(len(v.log)))
+			v.log, v.loggedAt = append(v.log, r), append(v.loggedAt, v.now)
+		}
+		next := replica.NewOffset(v.cluster.era, int64(len(v.log)))
+		if v.cluster.era != replica.Era(o.At) {
+			v.after(v.oneWayDelay(), func() { v.post(incarnation, Appended{Err: replica.ErrEraChanged}) })
+			return
 		}
-		next := int64(len(v.log))
 		if v.rng.IntN(20) == 0 {
 			v.after(500*time.Millisecond, func() { v.post(incarnation, Appended{Err: fmt.Errorf("response lost")}) })
 			return
@@ -325,18 +389,21 @@
 	}
 }
 
-func (v *simVM) checkQuorum(incarnation int64, o CheckQuorum) {
-	started, agreeing := v.now, 0
+func (v *simVM) checkQuorum(asker stepper, incarnation int64, o CheckQuorum) {
+	result := QuorumResult{Started: v.now}
 	for _, m := range o.Members {
 		if m.VM != v.name {
 			v.query(incarnation, m.VM, GrantQuery{Offset: o.Next + 1}, func(r GrantQueryReply) {
 				if r.NothingNewer {
-					agreeing++
+					result.Agreeing++
+				}
+				if r.Applied {
+					result.Newer++
 				}
 			})
 		}
 	}
-	v.after(100*time.Millisecond, func() { v.post(incarnation, QuorumResult{Started: started, Agreeing: agreeing}) })
+	v.after(100*time.Millisecond, func() { v.postTo(asker, incarnation, result) })
 }
 
 // unitsHeld returns how many units are held by a running target.
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -13,8 +13,8 @@
 // Message is an input of the Assigner or the Renewer.
 type Message interface{ message() }
 
-// LedgerChanged carries the latest view of the ledger and the time at which it
-// was current.
+// LedgerChanged carries the latest view of the ledger and the time at which
+// View.StreamEnd was the end of the stream.
 type LedgerChanged struct {
 	View *View
 	AsOf core.Instant
@@ -145,7 +145,7 @@
 }
 
 // QueryGrantExpiry asks members until when a holder may hold a grant that they
-// renewed.
+// renewed. Without a holder, it asks for all targets.
 type QueryGrantExpiry struct {
 	Holder  Holder
 	Offset  int64
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
 )
@@ -131,7 +132,7 @@
 
 func (a *Assigner) runMove(now core.Instant, mv *move) []Output {
 	e := mv.eviction
-	if mv.stage == releasing && a.grantsExpired(now, e) {
+	if mv.stage == releasing && a.grantsExpired(now, e, a.ledger.GrantDuration()) {
 		mv.stage, mv.orderPending = granting, false
 	}
 	if mv.orderPending || now.Before(mv.retryAt) {
@@ -173,8 +174,9 @@
 }
 
 // grantsExpired reports whether an unresponsive holder provably holds nothing
-// under older records: every grant that a VM can have renewed has expired.
-func (a *Assigner) grantsExpired(now core.Instant, e *eviction) bool {
+// under older records: every grant of the given duration that a VM can have renewed
+// has expired.
+func (a *Assigner) grantsExpired(now core.Instant, e *eviction, duration time.Duration) bool {
 	if !e.unresponsive {
 		return false
 	}
@@ -191,7 +193,7 @@
 	// A VM that has not replied renews until its ledger or its last successful
 	// quorum check is too old.
 	last := max(e.majorityAt.Add(quorumValidity), e.recordedAt.Add(MaxLedgerAge))
-	return !now.Before(last.Add(longestGrant(a.ledger.GrantDuration()) + maxAsOfError))
+	return !now.Before(last.Add(longestGrant(duration) + maxAsOfError))
 }
 
 func (a *Assigner) released(now core.Instant, m Released) []Output {
@@ -230,6 +232,9 @@
 
 func (a *Assigner) grantExpiry(now core.Instant, m GrantExpiry) []Output {
 	e := a.evictions[m.Holder]
+	if m.Holder.IsZero() {
+		e = a.restoration.wait
+	}
 	if e == nil || m.Offset != e.offset || !m.Applied {
 		return nil
 	}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -57,11 +57,45 @@
 	}
 }
 
+// TestRandomSchedulesWithLosses guards against two targets that hold a key or accept
+// the same token, and against keys without a holder, when the store comes back from
+// an older copy of itself, also during other faults and several times.
+func TestRandomSchedulesWithLosses(t *testing.T) {
+	for seed := range numSeeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(seed, 5, 4)
+			c.losses = true
+			c.run(8 * time.Second)
+			is.Equal(c.unitsHeld(), Units) // assigned at the start
+			for i := range 16 {
+				if i%4 == 1 {
+					c.loseRecords(time.Duration(c.rng.IntN(9000)) * time.Millisecond)
+				}
+				c.injectFault()
+				c.run(time.Duration(100+c.rng.IntN(3000)) * time.Millisecond)
+			}
+			c.run(30 * time.Second) // every fault has ended by then
+			if len(c.violations) > 0 {
+				t.Fatalf("seed %d: %v\n%s", seed, c.violations[0], strings.Join(c.traceTail(), "\n"))
+			}
+			if held := c.unitsHeld(); held != Units {
+				t.Fatalf("seed %d: %d of %d units are held at the end\n%s", seed, held, Units, strings.Join(c.traceTail(), "\n"))
+			}
+		})
+	}
+}
+
 // injectFault starts one fault that ends by itself.
 func (c *cluster) injectFault() {
 	v, t := c.vms[c.rng.IntN(len(c.vms))], c.targets[c.rng.IntN(len(c.targets))]
 	d := time.Duration(500+c.rng.IntN(6000)) * time.Millisecond
-	switch c.rng.IntN(9) {
+	faults := 9
+	if c.losses {
+		faults++
+	}
+	switch c.rng.IntN(faults) {
 	case 0:
 		if v.up {
 			c.restart(v, d/3)
@@ -99,6 +133,12 @@
 		c.after(d, func() { clear(t.cutOffFrom) })
 	case 8:
 		c.restartQuickly(t, 3)
+	case 9:
+		c.storeUp = false
+		c.after(d/4, func() {
+			c.storeUp = true
+			c.loseRecords(time.Duration(c.rng.IntN(9000)) * time.Millisecond)
+		})
 	case 7:
 		c.tracef("all VMs killed")
 		for _, o := range c.vms {
@@ -159,7 +199,7 @@
 // second after a partition healed.
 func TestReplacedAssignerGrantsNothing(t *testing.T) {
 	is := is.New(t)
-	a := NewAssigner(Leader{VM: "v0"})
+	a := NewAssigner(Leader{VM: "v0"}, true)
 	assignments := NewAssignments()
 	assignments.Set(7, Assignment{Owner: Holder{Target: "t1"}, Token: 5, Previous: Holder{Target: "t0"}})
 	view := &View{Leader: Leader{VM: "v0"}, Services: map[core.Service]*Assignments{service: assignments}, Next: 6}
@@ -189,13 +229,13 @@
 // its own append, because the append is confirmed before it appears in the ledger.
 func TestNextAppendWaitsForTheLedger(t *testing.T) {
 	is := is.New(t)
-	a := NewAssigner(Leader{VM: "v0"})
+	a := NewAssigner(Leader{VM: "v0"}, true)
 	now := core.Instant(time.Hour)
 	a.Step(now, MembersChanged{View: roster.New(roster.Member{VM: "v0"}).View()})
 	is.True(hasOutput[Append](a.Step(now, LedgerChanged{View: &View{}, AsOf: now})))
 	now = now.Add(2 * leaderRenewInterval)
 	is.True(!hasOutput[Append](a.Step(now, Appended{Next: 1})))
-	view := &View{Leader: Leader{VM: "v0"}, Next: 1}
+	view := &View{Leader: Leader{VM: "v0"}, Next: 1, StreamEnd: 1}
 	is.True(hasOutput[Append](a.Step(now, LedgerChanged{View: view, AsOf: now})))
 }
 
@@ -203,10 +243,10 @@
 // the store rejects them.
 func TestFailedAppendIsNotRepeatedAtOnce(t *testing.T) {
 	is := is.New(t)
-	a := NewAssigner(Leader{VM: "v0"})
+	a := NewAssigner(Leader{VM: "v0"}, true)
 	now := core.Instant(time.Hour)
 	a.Step(now, MembersChanged{View: roster.New(roster.Member{VM: "v0"}).View()})
-	view := &View{Leader: Leader{VM: "v0"}, Next: 1}
+	view := &View{Leader: Leader{VM: "v0"}, Next: 1, StreamEnd: 1}
 	is.True(hasOutput[Append](a.Step(now, LedgerChanged{View: view, AsOf: now})))
 	now = now.Add(2 * leaderRenewInterval)
 	is.True(!hasOutput[Append](a.Step(now, Appended{Err: replica.ErrExpired})))
@@ -267,7 +307,7 @@
 	}
 	l := NewLedger()
 	for block := range numBlocks {
-		r, err := encodeBlock(service, block, assignments)
+		r, err := encodeBlock(service, block, assignments, 0)
 		is.NoErr(err)
 		is.NoErr(l.Apply([]replica.Record{r}, int64(block)))
 	}
@@ -340,7 +380,7 @@
 func TestReportsOfUnreachableTargets(t *testing.T) {
 	is := is.New(t)
 	start := core.Instant(time.Hour)
-	a := NewAssigner(Leader{VM: "v0", Incarnation: 1})
+	a := NewAssigner(Leader{VM: "v0", Incarnation: 1}, true)
 	r := roster.New(roster.Member{VM: "v0", FailureDomain: "d0"})
 	for _, m := range []roster.Member{{VM: "v0", FailureDomain: "d0"}, {VM: "v1", FailureDomain: "d0"}, {VM: "v2", FailureDomain: "d1"}} {
 		r.Renew(start, m)
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -209,7 +209,7 @@
 		}
 		if c.assignment.Token == 0 {
 			// Greater than every earlier token, as each append ends at a greater
-			// offset.
+			// offset, also in a later era of the store.
 			c.assignment.Token = a.ledger.Next + 1
 		}
 		assignments[c.service].Set(c.unit, c.assignment)
@@ -218,7 +218,7 @@
 	var out []replica.Record
 	for s, set := range blocks {
 		for block := range set {
-			r, err := encodeBlock(s, block, assignments[s])
+			r, err := encodeBlock(s, block, assignments[s], replica.Era(a.ledger.Next))
 			if err != nil {
 				return nil, err
 			}
@@ -229,8 +229,8 @@
 	return out, nil
 }
 
-func encodeLeader(l Leader, grantDuration time.Duration) (replica.Record, error) {
-	b, err := json.Marshal(leaderRecord{Leader: l, GrantMs: grantDuration.Milliseconds()})
+func encodeLeader(l Leader, grantDuration time.Duration, era int64, restored Confirmation) (replica.Record, error) {
+	b, err := json.Marshal(leaderRecord{Leader: l, GrantMs: grantDuration.Milliseconds(), Era: era, Restored: restored})
 	if err != nil {
 		return replica.Record{}, fmt.Errorf("ownership: encode leader: %w", err)
 	}
--- a/internal/ownership/renewer.go
+++ b/internal/ownership/renewer.go
@@ -5,6 +5,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
 )
 
@@ -67,15 +68,16 @@
 type QuorumResult struct {
 	// Started is when the check started.
 	Started core.Instant
-	// Agreeing counts the other members that have no newer records.
-	Agreeing int
+	// Agreeing counts the other members that have no newer records, and Newer those
+	// that have.
+	Agreeing, Newer int
 }
 
 // DirectoryRead reports a time at which the known registrations were current.
 type DirectoryRead struct{ AsOf core.Instant }
 
-// GrantQuery asks until when a target may hold grants that this VM renewed. Reply
-// must be buffered.
+// GrantQuery asks until when a target, or any target if none is given, may hold
+// grants that this VM renewed. Reply must be buffered.
 type GrantQuery struct {
 	Target core.Target
 	Offset int64
@@ -88,8 +90,8 @@
 	Applied bool
 	// Remaining is how long a grant that the VM renewed may still last.
 	Remaining time.Duration
-	// NothingNewer is set if the VM's ledger ends just before the offset and
-	// contains everything that the VM ever knew, including before a restart.
+	// NothingNewer is set if the VM's ledger ends before the offset and contains
+	// everything that the VM ever knew, including before a restart.
 	NothingNewer bool
 }
 
@@ -111,9 +113,11 @@
 
 // Renewer is the state machine that renews grants.
 type Renewer struct {
-	startedAt    core.Instant
-	ledger       *View
-	asOf         core.Instant
+	startedAt core.Instant
+	ledger    *View
+	asOf      core.Instant
+	// eraSince is when this VM applied the first ledger of its era.
+	eraSince     core.Instant
 	targets      *discovery.View
 	members      *roster.View
 	targetStates map[core.Target]*targetState
@@ -170,7 +174,13 @@
 	switch m := m.(type) {
 	case LedgerChanged:
 		changed := m.View.Next != r.ledger.Next
-		r.ledger, r.asOf = m.View, m.AsOf
+		if replica.Era(m.View.Next) != replica.Era(r.ledger.Next) {
+			r.eraSince = now
+		}
+		r.ledger = m.View
+		if r.ledger.InForce() {
+			r.asOf = m.AsOf
+		}
 		if changed {
 			r.rebuildRanges()
 		}
@@ -285,6 +295,9 @@
 // majority recently had no newer records. Assigner.grantsExpired relies on this
 // bound.
 func (r *Renewer) mayRenew(now core.Instant) bool {
+	if r.ledger.Restored == Unconfirmed {
+		return false
+	}
 	return r.asOf != 0 && (now.Sub(r.asOf) <= MaxLedgerAge || r.quorumAt != 0 && now.Sub(r.quorumAt) <= quorumValidity)
 }
 
@@ -381,17 +394,28 @@
 
 func (r *Renewer) grantQuery(now core.Instant, q GrantQuery) GrantQueryReply {
 	if r.ledger.Next < q.Offset {
-		return GrantQueryReply{NothingNewer: r.ledger.Next == q.Offset-1 && r.caughtUp()}
+		return GrantQueryReply{NothingNewer: r.caughtUp()}
 	}
 	// An earlier process of this VM may have renewed until this one started.
-	last := r.startedAt
-	if s := r.targetStates[q.Target]; s != nil {
+	last, duration := r.startedAt, r.ledger.GrantDuration()
+	if q.Target == "" {
+		// Asked after a loss of records, one of which may have prolonged the grants.
+		duration = maxGrantDuration
+		for _, s := range r.targetStates {
+			if s.inFlight && s.renewAt.Add(-RenewInterval).Before(r.eraSince) {
+				return GrantQueryReply{} // it still renews by the ledger of an earlier era
+			}
+			if last = max(last, s.sentAt); s.inFlight {
+				last = now
+			}
+		}
+	} else if s := r.targetStates[q.Target]; s != nil {
 		if s.inFlight {
 			return GrantQueryReply{}
 		}
 		last = max(last, s.sentAt)
 	}
-	return GrantQueryReply{Applied: true, Remaining: max(0, longestGrant(r.ledger.GrantDuration())-now.Sub(last))}
+	return GrantQueryReply{Applied: true, Remaining: max(0, longestGrant(duration)-now.Sub(last))}
 }
 
 // caughtUp reports whether the ledger contains everything that the VM knew before
--- a/internal/ownership/simulated_target_test.go
+++ b/internal/ownership/simulated_target_test.go
@@ -89,6 +89,18 @@
 			}
 		}
 	}
+	holder := string(t.id)
+	if c.distinguishProcesses {
+		holder = fmt.Sprintf("%s started at %d", t.id, t.startedAt)
+	}
+	for u := from; u <= to && until.After(c.now); u++ {
+		h := &c.holds[u]
+		if h.token > token || h.token == token && h.holder != holder {
+			c.violationf("%s accepts unit %d with token %d, which is not above token %d of %s", holder, u, token, h.token, h.holder)
+			return false
+		}
+		h.token, h.holder = token, holder
+	}
 	for u := from; u <= to; u++ {
 		// A grant that is carried out late does not shorten a newer one.
 		t.token[u], t.heldUntil[u] = token, max(until, t.heldUntil[u])
--- a/standin/wire/operator.go
+++ b/standin/wire/operator.go
@@ -22,7 +22,7 @@
 // Settings returns the contents of the settings file.
 func (v VM) Settings() ([]byte, error) {
 	b, err := json.Marshal(map[string]any{
-		"nodeName": v.Name, "ip": v.IP, "zone": v.Zone, "seeds": v.Seeds, "contracts": []string{"platform"},
+		"nodeName": v.Name, "ip": v.IP, "zone": v.Zone, "seeds": v.Seeds, "contracts": []string{"platform"}, "bootstrap": true,
 		"listen":   map[string]string{"front": v.Callers, "readyAddr": v.Ready, "control": v.Peers},
 		"bounds":   []string{"grace=" + milliseconds(GracePeriod), "retryBudgetRatio=0.2", "budgetExtra=60"},
 		"platform": map[string]string{"address": v.Store, "form": "log"},
