--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -183,13 +183,21 @@
 	stamped  bool
 }
 
-// send sends one request with a new id.
+// send sends one request with a new id and a body of its own.
 func (d *deployment) send(v *vm, method, path string, key int) (response, error) {
+	id := d.newID()
+	return d.sendBody(v, method, path, key, id, "body of "+id)
+}
+
+func (d *deployment) newID() string {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.next++
-	id := fmt.Sprint("r", d.next)
-	d.mu.Unlock()
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+v.callers+path, strings.NewReader("body of "+id))
+	return fmt.Sprint("r", d.next)
+}
+
+func (d *deployment) sendBody(v *vm, method, path string, key int, id, body string) (response, error) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+v.callers+path, strings.NewReader(body))
 	if err != nil {
 		return response{}, err
 	}
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -34,6 +34,9 @@
 	// the kernel picks. Advertise is the address in the registration; the
 	// default is the address that the server listens on.
 	Listen, Advertise string
+	// CrashURI is the URI of requests that end the server as soon as it begins to
+	// run them; none if it is empty.
+	CrashURI string
 	// Observer may be nil.
 	Observer Observer
 }
@@ -307,6 +310,10 @@
 	if s.Observer != nil {
 		s.Observer.RunStarted(s, run)
 	}
+	if s.CrashURI != "" && r.RequestURI == s.CrashURI {
+		s.Stop()
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(f.ServiceTime)
 	s.setLoadHeader(w.Header())
 	s.mu.Lock()
