quarantine: requests that crash targets are kept away from them

Cause: a VM knows a request by its id alone, which is new each time, remembers nothing of the targets that ended under it, and tells no other VM. The class is that of a fault which follows the request and is looked for at the target.

The balancer probes a target that closes a connection with a request, once a second at most. - A suspected request isn't sent for 5 s after the first process, a minute after the second and an hour after the third; then one VM after the other tries it once, without retries and hedges. It only grows and is merged in any order; at most 1024 requests with 8 processes each; forgotten after a minute, or two hours if it repeats. - Without suspects a request costs one atomic load more.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -229,6 +229,47 @@
 	is.Equal(sent, 1)
 }
 
+// Guards against a target that has exited under a request and isn't noticed until
+// another request is sent to it, against one that is taken for exited because it is
+// slow, and against checks without bound.
+func TestTargetThatClosesAConnectionIsChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		result ProbeDone
+		exited bool
+	}{
+		"refused": {ProbeDone{Target: "a", Refused: true}, true},
+		"slow":    {ProbeDone{Target: "a"}, false},
+		"healthy": {ProbeDone{Target: "a", Healthy: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := warmTarget("a")
+			target.StartedAt = 5
+			b := setup{targets: []discovery.Target{target}}.fleet()[0]
+			now := start.Add(time.Second)
+			lose := func() {
+				selectTarget(b, now)
+				b.Step(now, AttemptDone{Service: "s", Target: "a", Result: ConnectionLost})
+			}
+			lose()
+			out := b.Step(now, Tick{})
+			is.Equal(len(out), 1)
+			is.Equal(out[0].(Probe).Target, core.Target("a"))
+			is.Equal(len(b.Step(now, Tick{})), 0) // one at a time
+			out = b.Step(now, c.result)
+			is.Equal(len(out) > 0, c.exited)
+			if c.exited {
+				is.Equal(out[0], TargetUnreachable{Target: "a", StartedAt: 5})
+				return
+			}
+			is.Equal(selectTarget(b, now).Verdict, Send)
+			lose()
+			is.Equal(len(b.Step(now.Add(checkInterval-time.Millisecond), Tick{})), 0)
+			is.Equal(len(b.Step(now.Add(checkInterval), Tick{})), 1)
+		})
+	}
+}
+
 // Guards against requests to a full target, and against rejections without a
 // retry delay.
 func TestFullTargetRejects(t *testing.T) {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -194,7 +194,7 @@
 	t.rateLimiter.take(now)
 	return Decision{
 		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age,
-		Target: Target{ID: t.ID, Address: t.Address, MaxConnections: b.connections(service)},
+		Target: Target{ID: t.ID, Address: t.Address, StartedAt: t.StartedAt, MaxConnections: b.connections(service)},
 	}
 }
 
@@ -397,12 +397,11 @@
 		return nil
 	case OtherProcess:
 		t.replaced = true
-		return []Output{TargetUnreachable{Target: t.ID}, b.event(now, t, "another process responds at the target's address")}
+		return []Output{TargetUnreachable{Target: t.ID, StartedAt: t.StartedAt}, b.event(now, t, "another process responds at the target's address")}
 	case ConnectFailed:
-		if t.markUnreachable(now) {
-			return []Output{TargetUnreachable{Target: t.ID}, b.event(now, t, "target can't be reached")}
-		}
-		return nil
+		return b.connectFailed(now, t)
+	case ConnectionLost:
+		t.checkDue = true
 	}
 	if t.recordOutcome(now, false) {
 		return []Output{b.event(now, t, "target taken out after failures")}
@@ -410,6 +409,13 @@
 	return nil
 }
 
+func (b *Balancer) connectFailed(now core.Instant, t *target) []Output {
+	if !t.markUnreachable(now) {
+		return nil
+	}
+	return []Output{TargetUnreachable{Target: t.ID, StartedAt: t.StartedAt}, b.event(now, t, "target can't be reached")}
+}
+
 // recordDuration updates the estimates of the target and of the request's route.
 func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
 	w := workload{service: m.Service, route: m.Route}
@@ -424,14 +430,15 @@
 	}}
 }
 
-// startProbes requests health checks of the unreachable targets that are due.
+// startProbes requests health checks of the unreachable targets that are due, and
+// of those that closed a connection with a request, as they may have exited.
 func (b *Balancer) startProbes(now core.Instant) []Output {
 	var out []Output
 	for _, t := range b.targets {
-		if !t.unreachable || t.probeInFlight || t.replaced || now.Before(t.nextProbe) || b.view.Targets[t.ID] == nil {
+		if !t.unreachable && !t.checkDue || t.probeInFlight || t.replaced || now.Before(t.nextProbe) || b.view.Targets[t.ID] == nil {
 			continue
 		}
-		t.probeInFlight = true
+		t.probeInFlight, t.checkDue = true, false
 		out = append(out, Probe{Target: t.ID, Address: t.Address, Path: b.services[t.Service].HealthPath})
 	}
 	return out
@@ -446,12 +453,19 @@
 	t.recordLoad(now, m.Load)
 	if m.OtherProcess {
 		t.replaced = true
-		return []Output{TargetUnreachable{Target: t.ID}}
+		return []Output{TargetUnreachable{Target: t.ID, StartedAt: t.StartedAt}}
+	}
+	if !t.unreachable {
+		t.nextProbe = now.Add(checkInterval)
+		if m.Refused {
+			return b.connectFailed(now, t)
+		}
+		return nil
 	}
 	if !m.Healthy {
 		t.probeBackoff = min(2*t.probeBackoff, maxProbeBackoff)
 		t.nextProbe = now.Add(t.probeBackoff)
-		return []Output{TargetUnreachable{Target: t.ID}}
+		return []Output{TargetUnreachable{Target: t.ID, StartedAt: t.StartedAt}}
 	}
 	t.unreachable = false
 	t.consecutiveFailures = 0
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -87,6 +87,8 @@
 type Target struct {
 	ID      core.Target
 	Address string
+	// StartedAt is when the target's process started, in Unix milliseconds.
+	StartedAt int64
 	// MaxConnections is this VM's limit of connections to the target.
 	MaxConnections int
 }
@@ -164,7 +166,9 @@
 	Healthy bool
 	// OtherProcess is set if another process responds at the address.
 	OtherProcess bool
-	Load         *TargetLoad
+	// Refused is set if nothing accepts connections at the address.
+	Refused bool
+	Load    *TargetLoad
 	// ColdRemaining is how much longer the target reports that it stays cold.
 	ColdRemaining time.Duration
 }
@@ -221,7 +225,10 @@
 }
 
 // TargetUnreachable reports that a target's process seems to have exited.
-type TargetUnreachable struct{ Target core.Target }
+type TargetUnreachable struct {
+	Target    core.Target
+	StartedAt int64
+}
 
 // TargetLeaving reports that a target's process announced that it is about to
 // exit.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -41,6 +41,9 @@
 	// target. It doubles up to maxProbeBackoff, as probes are charged.
 	minProbeBackoff = 150 * time.Millisecond
 	maxProbeBackoff = 1200 * time.Millisecond
+	// checkInterval is the time between the checks of a target that closes
+	// connections.
+	checkInterval = time.Second
 )
 
 // target is the state that this VM keeps for a target's process.
@@ -75,7 +78,10 @@
 	// succeeds.
 	unreachable bool
 	// replaced is set once another process responds at the address.
-	replaced      bool
+	replaced bool
+	// checkDue is set when the target has closed a connection with a request, until
+	// a probe checks whether it has exited.
+	checkDue      bool
 	probeInFlight bool
 	nextProbe     core.Instant
 	probeBackoff  time.Duration
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -12,6 +12,7 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -84,6 +85,9 @@
 				continue
 			}
 			pending--
+			if answered := a.response != nil && a.mayHaveRun(); answered && (r.suspected || possibleRuns > 0) {
+				r.Quarantine.Answered(r.fingerprint())
+			}
 			if a.result == balance.Succeeded {
 				r.writeResponse(&a)
 				return
@@ -117,6 +121,9 @@
 	if r.sends >= max(r.rule.MaxAttempts, 1)+maxExtraAttempts {
 		return noAttempt
 	}
+	if possibleRuns > 0 && r.suspected {
+		return noAttempt
+	}
 	if possibleRuns > 0 && (!r.rule.Idempotent || possibleRuns >= r.rule.MaxAttempts) {
 		return noAttempt
 	}
@@ -188,6 +195,9 @@
 			announced := r.Headers.ParseAnnouncement(a.response.Status, a.response.Header)
 			done.Announced = &announced
 		}
+		if a.result == balance.ConnectionLost {
+			r.Quarantine.Lost(r.fingerprint(), quarantine.Process{Target: a.target, StartedAt: d.Target.StartedAt})
+		}
 		r.Balancer.Done(done)
 		if a.result == balance.NotOwner {
 			r.Balancer.NotOwner(r.service, r.key, a.target)
@@ -233,7 +243,7 @@
 // hedgeTimer returns a channel that fires when the request should be hedged, or
 // nil if hedging is not allowed for it.
 func (r *request) hedgeTimer(d balance.Decision, possibleRuns int) <-chan time.Time {
-	if !r.rule.Idempotent || r.keyed || possibleRuns > 0 || r.rule.MaxAttempts < 2 {
+	if !r.rule.Idempotent || r.keyed || r.suspected || possibleRuns > 0 || r.rule.MaxAttempts < 2 {
 		return nil
 	}
 	delay := max(time.Duration(float64(d.ExpectedLatency)*hedgeFactor), time.Duration(float64(r.rule.LatencyObjective)*hedgeFloor))
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -24,6 +24,7 @@
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/protocol"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
@@ -101,13 +102,44 @@
 
 type fixture struct {
 	*Server
-	balancer  *balancer
-	exchanger *exchanger
-	address   string
+	balancer   *balancer
+	exchanger  *exchanger
+	quarantine *suspects
+	address    string
+}
+
+// suspects admits requests as set, and records what it is told of them.
+type suspects struct {
+	mu        sync.Mutex
+	admission *quarantine.Admission
+	lost      []quarantine.Fingerprint
+	answered  []quarantine.Fingerprint
+	asked     []quarantine.Fingerprint
+}
+
+func (s *suspects) Empty() bool { return s.admission == nil }
+
+func (s *suspects) Admit(f quarantine.Fingerprint) quarantine.Admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, f)
+	return *s.admission
+}
+
+func (s *suspects) Lost(f quarantine.Fingerprint, _ quarantine.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = append(s.lost, f)
+}
+
+func (s *suspects) Answered(f quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = append(s.answered, f)
 }
 
 func newFixture(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
-	f := &fixture{balancer: &balancer{}, exchanger: &exchanger{do: do}}
+	f := &fixture{balancer: &balancer{}, exchanger: &exchanger{do: do}, quarantine: &suspects{}}
 	routes := &routing.ActiveTable{}
 	backend := []routing.Backend{{Service: "s", Weight: 1}}
 	routes.Apply(routing.Config{
@@ -122,7 +154,7 @@
 		},
 	})
 	f.Server = NewServer(Options{
-		Routes: routes, Balancer: f.balancer, Upstream: f.exchanger, Headers: testHeaders, Clock: duty.NewClock(),
+		Routes: routes, Balancer: f.balancer, Quarantine: f.quarantine, Upstream: f.exchanger, Headers: testHeaders, Clock: duty.NewClock(),
 		Log: logr.Discard(), Metrics: observe.NewMetrics(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	is.New(t).NoErr(f.Listen("127.0.0.1:0"))
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 )
 
@@ -40,6 +42,10 @@
 	startedAt core.Instant
 	deadline  core.Instant
 
+	// suspected is set if targets have ended while they had the same request.
+	suspected   bool
+	fingerprint func() quarantine.Fingerprint
+
 	tried        []core.Target
 	sends        int
 	reason       string
@@ -70,9 +76,33 @@
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(s.Clock()))
 	defer cancel()
 	r.ctx = ctx
+	r.fingerprint = sync.OnceValue(r.computeFingerprint)
+	if !s.Quarantine.Empty() {
+		a := s.Quarantine.Admit(r.fingerprint())
+		if a.Held {
+			r.reject(&rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: a.Until.Sub(s.Clock())})
+			return
+		}
+		if r.suspected = a.Suspected; a.Done != nil {
+			defer a.Done()
+		}
+	}
 	r.forward()
 }
 
+// computeFingerprint returns the fingerprint of what the request is to a target.
+func (r *request) computeFingerprint() quarantine.Fingerprint {
+	parts := [][]byte{[]byte(r.httpRequest.Method), []byte(r.httpRequest.Host), []byte(r.httpRequest.RequestURI), r.body}
+	for _, name := range callerHeaders {
+		parts = append(parts, []byte(strings.Join(r.header.Values(name), "\x00")))
+	}
+	return quarantine.NewFingerprint(parts...)
+}
+
+// callerHeaders are the headers that say who sends a request. Other headers
+// describe the client program or the attempt.
+var callerHeaders = []string{"Authorization", "Cookie"}
+
 // rejection is a response of the VM itself.
 type rejection struct {
 	status int
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -20,6 +20,7 @@
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/protocol"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
@@ -46,6 +47,18 @@
 	NotOwner(service core.Service, key uint16, target core.Target)
 }
 
+// Quarantine keeps requests that crash targets away from them.
+type Quarantine interface {
+	// Empty reports whether no request is suspected.
+	Empty() bool
+	// Admit decides whether a request may be sent.
+	Admit(f quarantine.Fingerprint) quarantine.Admission
+	// Lost reports that a process closed the connection with a request.
+	Lost(f quarantine.Fingerprint, p quarantine.Process)
+	// Answered reports that a target responded to a request.
+	Answered(f quarantine.Fingerprint)
+}
+
 // Exchanger sends one attempt to a target.
 type Exchanger interface {
 	Do(ctx context.Context, r *upstream.Request) (*upstream.Response, error)
@@ -53,14 +66,15 @@
 
 // Options are the dependencies of a Server.
 type Options struct {
-	Routes   *routing.ActiveTable
-	Balancer Balancer
-	Upstream Exchanger
-	Headers  *protocol.Headers
-	Clock    duty.Clock
-	Log      logr.Logger
-	Metrics  *observe.Metrics
-	Tracer   trace.Tracer
+	Routes     *routing.ActiveTable
+	Balancer   Balancer
+	Quarantine Quarantine
+	Upstream   Exchanger
+	Headers    *protocol.Headers
+	Clock      duty.Clock
+	Log        logr.Logger
+	Metrics    *observe.Metrics
+	Tracer     trace.Tracer
 }
 
 // Server is the HTTP server for callers.
--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -10,6 +10,7 @@
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
 	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
 	"celeryhook.example/celeryhook/internal/transport"
@@ -75,9 +76,11 @@
 	return out, nil
 }
 
-// Report sends a load report to the assigner.
-func (c *Client) Report(ctx context.Context, to roster.Member, l ownership.LoadReport) error {
-	req := &meshpb.LoadReport{Vm: string(l.VM)}
+// Report sends a load report to the assigner, and compares this VM's evidence
+// against requests that crash targets, which has the given digest, with that of the
+// receiver.
+func (c *Client) Report(ctx context.Context, to roster.Member, l ownership.LoadReport, evidence []quarantine.Evidence, digest uint64) (quarantine.CompareReply, error) {
+	req := &meshpb.LoadReport{Vm: string(l.VM), Evidence: evidenceToPB(evidence), EvidenceDigest: digest, Compare: true}
 	for s, units := range l.UnitLoads {
 		sv := &meshpb.ServiceLoad{Service: string(s)}
 		for u, rate := range units {
@@ -91,8 +94,17 @@
 	for _, t := range l.Unreachable {
 		req.Unreachable = append(req.Unreachable, string(t))
 	}
-	if _, err := c.rpc(to).Report(ctx, req); err != nil {
-		return fmt.Errorf("mesh: report to %s: %w", to.VM, err)
+	reply, err := c.rpc(to).Report(ctx, req)
+	if err != nil {
+		return quarantine.CompareReply{}, fmt.Errorf("mesh: report to %s: %w", to.VM, err)
+	}
+	return quarantine.CompareReply{Evidence: evidenceFromPB(reply.Evidence), Different: reply.Different}, nil
+}
+
+// SendEvidence sends evidence against requests that crash targets to another VM.
+func (c *Client) SendEvidence(ctx context.Context, to roster.Member, evidence []quarantine.Evidence) error {
+	if _, err := c.rpc(to).Report(ctx, &meshpb.LoadReport{Evidence: evidenceToPB(evidence)}); err != nil {
+		return fmt.Errorf("mesh: evidence to %s: %w", to.VM, err)
 	}
 	return nil
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -12,7 +12,10 @@
 
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
+	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
+	"celeryhook.example/celeryhook/internal/ring"
 	"celeryhook.example/celeryhook/internal/roster"
 )
 
@@ -36,7 +39,7 @@
 func TestAppendThroughAnotherVM(t *testing.T) {
 	is := is.New(t)
 	s := &fakeStore{offset: 7}
-	server := httptest.NewServer(meshpb.NewMeshServer(NewServer(duty.NewClock(), nil, nil, nil, s)))
+	server := httptest.NewServer(meshpb.NewMeshServer(NewServer(duty.NewClock(), nil, nil, nil, nil, s)))
 	defer server.Close()
 	peer := NewClient(duty.NewClock()).Peer(roster.Member{VM: "v", Address: strings.TrimPrefix(server.URL, "http://")})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -85,3 +88,32 @@
 	is.NoErr(err)
 	is.True(received.Sub(reply.Batches[0].AsOf) >= 100*time.Millisecond+300*time.Millisecond-wait)
 }
+
+// Guards against evidence that is lost or changed on its way between two VMs, and
+// against a fingerprint of a wrong length that ends the process.
+func TestEvidenceBetweenVMs(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	suspects := ring.New[quarantine.Message]("quarantine", 16, ring.Block)
+	server := httptest.NewServer(meshpb.NewMeshServer(NewServer(duty.NewClock(), nil, nil, nil, suspects, nil)))
+	defer server.Close()
+	to := roster.Member{VM: "v", Address: strings.TrimPrefix(server.URL, "http://")}
+	sent := []quarantine.Evidence{{
+		Request: quarantine.NewFingerprint([]byte("a")), Ended: []quarantine.Process{{Target: "t1", StartedAt: 5}, {Target: "t2", StartedAt: 6}},
+		Excused: []quarantine.Process{{Target: "t1", StartedAt: 5}}, Age: 1500 * time.Millisecond,
+	}}
+	client := NewClient(duty.NewClock())
+	is.NoErr(client.SendEvidence(ctx, to, sent))
+	is.Equal((<-suspects.C()).(quarantine.EvidenceReceived).Evidence, sent)
+
+	go func() {
+		m := (<-suspects.C()).(quarantine.Compare)
+		m.Reply <- quarantine.CompareReply{Evidence: m.Evidence, Different: m.Digest == 9}
+	}()
+	reply, err := client.Report(ctx, to, ownership.LoadReport{}, sent, 9)
+	is.NoErr(err)
+	is.Equal(reply, quarantine.CompareReply{Evidence: sent, Different: true})
+
+	is.Equal(len(evidenceFromPB([]*meshpb.CrashEvidence{{Request: []byte("short")}})), 0)
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -11,6 +11,7 @@
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
 	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/ring"
 )
@@ -24,13 +25,17 @@
 	replica  *ring.Ring[replica.Message]
 	assigner *ring.Ring[ownership.Message]
 	renewer  *ring.Ring[ownership.Message]
+	suspects *ring.Ring[quarantine.Message]
 	store    replica.Store
 }
 
 // NewServer returns a server that passes requests to the duties over their rings
 // and appends to the store.
-func NewServer(clock duty.Clock, r *ring.Ring[replica.Message], assigner, renewer *ring.Ring[ownership.Message], store replica.Store) *Server {
-	return &Server{clock: clock, replica: r, assigner: assigner, renewer: renewer, store: store}
+func NewServer(
+	clock duty.Clock, r *ring.Ring[replica.Message], assigner, renewer *ring.Ring[ownership.Message],
+	suspects *ring.Ring[quarantine.Message], store replica.Store,
+) *Server {
+	return &Server{clock: clock, replica: r, assigner: assigner, renewer: renewer, suspects: suspects, store: store}
 }
 
 // Sync implements meshpb.Mesh.
@@ -88,10 +93,33 @@
 	for _, t := range req.Unreachable {
 		load.Unreachable = append(load.Unreachable, core.Target(t))
 	}
-	if err := s.assigner.PutBlocking(ctx, load); err != nil {
+	if len(load.UnitLoads)+len(load.ServiceTime)+len(load.Unreachable) > 0 {
+		if err := s.assigner.PutBlocking(ctx, load); err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+	}
+	return s.reportEvidence(ctx, req)
+}
+
+// reportEvidence handles the part of a report on requests that crash targets.
+func (s *Server) reportEvidence(ctx context.Context, req *meshpb.LoadReport) (*meshpb.ReportReply, error) {
+	evidence := evidenceFromPB(req.Evidence)
+	if !req.Compare {
+		if err := s.suspects.PutBlocking(ctx, quarantine.EvidenceReceived{Evidence: evidence}); err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+		return &meshpb.ReportReply{}, nil
+	}
+	reply := make(chan quarantine.CompareReply, 1)
+	if err := s.suspects.PutBlocking(ctx, quarantine.Compare{Digest: req.EvidenceDigest, Evidence: evidence, Reply: reply}); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &meshpb.ReportReply{}, nil
+	select {
+	case r := <-reply:
+		return &meshpb.ReportReply{Evidence: evidenceToPB(r.Evidence), Different: r.Different}, nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.Canceled, ctx.Err().Error())
+	}
 }
 
 // Settle implements meshpb.Mesh.
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/balance"
@@ -20,7 +22,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		n.metrics.Count("probes")
-		if resp, err := n.client.Health(callCtx, o.Address, o.Path); err == nil {
+		resp, err := n.client.Health(callCtx, o.Address, o.Path)
+		result.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		if err == nil {
 			headers := n.platform.Headers()
 			result.OtherProcess = resp.Header.Get(headers.Target) != "" && resp.Header.Get(headers.Target) != string(o.Target)
 			result.Healthy = resp.Status == http.StatusOK && !result.OtherProcess
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -8,6 +8,7 @@
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
 )
@@ -153,7 +154,7 @@
 	case discovery.Event:
 		n.log.Info(o.Text, o.Fields...)
 	case discovery.ViewUpdated:
-		n.targets.Store(o.View)
+		n.reportEnded(n.targets.Swap(o.View), o.View)
 		_ = n.balanceRing.Put(ctx, balance.TargetsChanged{View: o.View})
 		_ = n.assignerRing.Put(ctx, ownership.TargetsChanged{View: o.View})
 		_ = n.renewerRing.Put(ctx, ownership.TargetsChanged{View: o.View})
@@ -177,6 +178,7 @@
 		_ = n.balanceRing.Put(ctx, balance.MembersChanged{View: o.View})
 		_ = n.assignerRing.Put(ctx, ownership.MembersChanged{View: o.View})
 		_ = n.renewerRing.Put(ctx, ownership.MembersChanged{View: o.View})
+		_ = n.quarantineRing.Put(ctx, quarantine.MembersChanged{View: o.View})
 	}
 }
 
@@ -190,6 +192,7 @@
 		n.log.Info(o.Text, o.Fields...)
 	case balance.TargetUnreachable:
 		n.assignerRing.TryPut(ownership.Unreachable{Target: o.Target})
+		n.quarantineRing.TryPut(quarantine.ProcessEnded{Process: quarantine.Process{Target: o.Target, StartedAt: o.StartedAt}})
 	case balance.TargetLeaving:
 		n.discoveryRing.TryPut(discovery.LeavingReported{Target: o.Target, StartedAt: o.StartedAt})
 	case balance.ColdStartReported:
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -71,7 +71,7 @@
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
-	meshHandler := meshpb.NewMeshServer(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.platform))
+	meshHandler := meshpb.NewMeshServer(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform))
 	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
 		return err
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -124,7 +124,8 @@
 	}()
 }
 
-// report sends this VM's load report to the leader's assigner.
+// report sends this VM's load report to the leader's assigner, and compares the
+// evidence against requests that crash targets.
 func (n *Process) report(ctx context.Context) {
 	reply := make(chan ownership.LoadReport, 1)
 	if n.balanceRing.Put(ctx, balance.LoadReportRequest{Reply: reply}) != nil {
@@ -138,7 +139,7 @@
 	}
 	load.VM = n.self.VM
 	owners, members := n.owners.Load(), n.members.Load()
-	if owners == nil || members == nil || len(load.UnitLoads) == 0 {
+	if owners == nil || members == nil {
 		return
 	}
 	if owners.Leader.VM == n.self.VM {
@@ -149,9 +150,7 @@
 	if !ok {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	if err := n.mesh.Report(callCtx, to, load); err != nil {
+	if err := n.compareEvidence(ctx, to, load); err != nil {
 		n.metrics.Count("reports_failed")
 	}
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -18,6 +18,7 @@
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/ownership"
+	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/ring"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -42,14 +43,15 @@
 	peerWorkers  = 16
 	poolRingSize = 1024
 
-	tickInterval          = 100 * time.Millisecond
-	replicaTickInterval   = 50 * time.Millisecond
-	discoveryTickInterval = 40 * time.Millisecond
-	rosterTickInterval    = 200 * time.Millisecond
-	reportInterval        = time.Second
-	cleanupInterval       = time.Second
-	maxMembersAge         = 4 * time.Second
-	readinessInterval     = 100 * time.Millisecond
+	tickInterval           = 100 * time.Millisecond
+	replicaTickInterval    = 50 * time.Millisecond
+	discoveryTickInterval  = 40 * time.Millisecond
+	quarantineTickInterval = time.Second
+	rosterTickInterval     = 200 * time.Millisecond
+	reportInterval         = time.Second
+	cleanupInterval        = time.Second
+	maxMembersAge          = 4 * time.Second
+	readinessInterval      = 100 * time.Millisecond
 )
 
 // Process is the process of a gateway VM.
@@ -64,26 +66,31 @@
 	routes routing.ActiveTable
 	// ledger is updated only by the replica duty's goroutine; others read its
 	// views from owners.
-	ledger      *ownership.Ledger
-	owners      atomic.Pointer[ownership.View]
-	members     atomic.Pointer[roster.View]
-	targets     atomic.Pointer[discovery.View]
-	membersAsOf atomic.Int64
-	ready       atomic.Bool
-	stopping    atomic.Bool
+	ledger   *ownership.Ledger
+	owners   atomic.Pointer[ownership.View]
+	members  atomic.Pointer[roster.View]
+	targets  atomic.Pointer[discovery.View]
+	suspects atomic.Pointer[quarantine.View]
+	// evidenceDiffers is set if the leader lacked evidence of this VM at the last
+	// report.
+	evidenceDiffers atomic.Bool
+	membersAsOf     atomic.Int64
+	ready           atomic.Bool
+	stopping        atomic.Bool
 
-	replicaRing   *ring.Ring[replica.Message]
-	discoveryRing *ring.Ring[discovery.Message]
-	rosterRing    *ring.Ring[roster.Message]
-	balanceRing   *ring.Ring[balance.Message]
-	assignerRing  *ring.Ring[ownership.Message]
-	renewerRing   *ring.Ring[ownership.Message]
-	readers       [replica.NumStreams]*replica.Reader
-	follower      *replica.Follower
-	orders        *duty.Pool
-	probes        *duty.Pool
-	peers         *duty.Pool
-	appends       *duty.Pool
+	replicaRing    *ring.Ring[replica.Message]
+	discoveryRing  *ring.Ring[discovery.Message]
+	rosterRing     *ring.Ring[roster.Message]
+	balanceRing    *ring.Ring[balance.Message]
+	assignerRing   *ring.Ring[ownership.Message]
+	renewerRing    *ring.Ring[ownership.Message]
+	quarantineRing *ring.Ring[quarantine.Message]
+	readers        [replica.NumStreams]*replica.Reader
+	follower       *replica.Follower
+	orders         *duty.Pool
+	probes         *duty.Pool
+	peers          *duty.Pool
+	appends        *duty.Pool
 
 	// verifiedAt holds, for each ownership.Holder, the core.Instant of the last
 	// health check that found its process not restarted.
@@ -105,17 +112,18 @@
 		self: roster.Member{
 			VM: s.VM, FailureDomain: s.FailureDomain, Address: s.MeshAddress, Incarnation: time.Now().UnixMilli(), Capacity: s.Capacity,
 		},
-		ledger:        ownership.NewLedger(),
-		replicaRing:   ring.New[replica.Message]("replica", stateRingSize, ring.Block),
-		discoveryRing: ring.New[discovery.Message]("discovery", stateRingSize, ring.Block),
-		rosterRing:    ring.New[roster.Message]("roster", stateRingSize, ring.Block),
-		balanceRing:   ring.New[balance.Message]("balance", requestRingSize, ring.Block),
-		assignerRing:  ring.New[ownership.Message]("assigner", stateRingSize, ring.Block),
-		renewerRing:   ring.New[ownership.Message]("keeper", stateRingSize, ring.Block),
-		orders:        duty.NewPool("orders", orderWorkers, poolRingSize),
-		probes:        duty.NewPool("probes", probeWorkers, poolRingSize),
-		peers:         duty.NewPool("peers", peerWorkers, poolRingSize),
-		appends:       duty.NewPool("appends", 2, poolRingSize),
+		ledger:         ownership.NewLedger(),
+		replicaRing:    ring.New[replica.Message]("replica", stateRingSize, ring.Block),
+		discoveryRing:  ring.New[discovery.Message]("discovery", stateRingSize, ring.Block),
+		rosterRing:     ring.New[roster.Message]("roster", stateRingSize, ring.Block),
+		balanceRing:    ring.New[balance.Message]("balance", requestRingSize, ring.Block),
+		assignerRing:   ring.New[ownership.Message]("assigner", stateRingSize, ring.Block),
+		renewerRing:    ring.New[ownership.Message]("keeper", stateRingSize, ring.Block),
+		quarantineRing: ring.New[quarantine.Message]("quarantine", stateRingSize, ring.Block),
+		orders:         duty.NewPool("orders", orderWorkers, poolRingSize),
+		probes:         duty.NewPool("probes", probeWorkers, poolRingSize),
+		peers:          duty.NewPool("peers", peerWorkers, poolRingSize),
+		appends:        duty.NewPool("appends", 2, poolRingSize),
 	}
 	n.pool = upstream.NewPool(func() { m.Count("connections_opened") })
 	n.client = upstream.NewClient(n.pool, p.Headers())
@@ -123,10 +131,10 @@
 	n.readers = replica.NewReaders(p, n.replicaRing, clock, log)
 	n.follower = replica.NewFollower(n.source, n.replicaRing, clock, log)
 	n.ingress = ingress.NewServer(ingress.Options{
-		Routes: &n.routes, Balancer: &balancerClient{n}, Upstream: n.client, Headers: p.Headers(),
+		Routes: &n.routes, Balancer: &balancerClient{n}, Quarantine: &quarantineClient{n}, Upstream: n.client, Headers: p.Headers(),
 		Clock: clock, Log: log, Metrics: m, Tracer: tracer,
 	})
-	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.renewerRing} {
+	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.renewerRing, n.quarantineRing} {
 		m.Ring(r)
 	}
 	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
@@ -149,6 +157,7 @@
 	assigner := ownership.NewAssigner(ownership.Leader{VM: n.self.VM, Incarnation: n.self.Incarnation}, n.settings.FirstStart)
 	go duty.New("assigner", n.clock, n.assignerRing, assigner, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("keeper", n.clock, n.renewerRing, ownership.NewRenewer(n.clock()), n.emitRenewer, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
+	go duty.New("quarantine", n.clock, n.quarantineRing, quarantine.NewDuty(), n.emitQuarantine, quarantine.Message(quarantine.Tick{}), quarantineTickInterval).Run(ctx)
 	for _, r := range n.readers {
 		go r.Run(ctx)
 	}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,296 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/roster"
+)
+
+const (
+	// confirmTime is how long after a lost connection the process may be found to
+	// have ended.
+	confirmTime = 3 * time.Second
+	// trialStagger is the time between the trials of two VMs. The evidence of a
+	// failed trial reaches the others within it.
+	trialStagger = 1500 * time.Millisecond
+	// retryWhileTried is the retry delay while this VM tries the request.
+	retryWhileTried = 500 * time.Millisecond
+	// forgetTime is how long evidence is kept after the last process ended.
+	forgetTime = 2 * time.Hour
+	// forgetUnrepeatedTime is the same for requests under which one process ended,
+	// among which are those that merely ran beside a harmful one.
+	forgetUnrepeatedTime = time.Minute
+	// maxRequests and maxProcesses bound the memory for evidence.
+	maxRequests  = 1024
+	maxProcesses = 8
+)
+
+// holdTimes are how long a request isn't sent after the first, second and later
+// processes ended under it. The keys of a lost target have another owner after
+// about the first one, so that requests that ran beside a harmful one lose little.
+var holdTimes = [...]time.Duration{5 * time.Second, time.Minute, time.Hour}
+
+// entry is the evidence against a request.
+type entry struct {
+	ended, excused map[Process]bool
+	lastEnd        core.Instant
+	trying         *atomic.Bool
+}
+
+// count returns how many processes ended under the request that it isn't excused
+// for.
+func (e *entry) count() int {
+	n := 0
+	for p := range e.ended {
+		if !e.excused[p] {
+			n++
+		}
+	}
+	return n
+}
+
+// Duty is the state machine of the quarantine.
+type Duty struct {
+	members *roster.View
+	entries map[Fingerprint]*entry
+	// lost holds when requests lost their connection to a process that is not known
+	// to have ended.
+	lost map[Process]map[Fingerprint]core.Instant
+	// ended holds when processes were found to have ended.
+	ended map[Process]core.Instant
+	// changed is set while the last view and digest are out of date.
+	changed bool
+	digest  uint64
+}
+
+// NewDuty returns a duty that suspects no request.
+func NewDuty() *Duty {
+	return &Duty{entries: make(map[Fingerprint]*entry), lost: make(map[Process]map[Fingerprint]core.Instant), ended: make(map[Process]core.Instant)}
+}
+
+// Step implements duty.Step.
+func (d *Duty) Step(now core.Instant, m Message) []Output {
+	var out []Output
+	switch m := m.(type) {
+	case AttemptLost:
+		out = d.attemptLost(now, m)
+	case ProcessEnded:
+		out = d.processEnded(now, m.Process)
+	case Answered:
+		out = d.answered(now, m.Request)
+	case EvidenceReceived:
+		d.merge(now, m.Evidence)
+	case Compare:
+		d.merge(now, m.Evidence)
+		if d.changed {
+			d.digest = d.computeDigest()
+		}
+		reply := CompareReply{Different: m.Digest != d.digest}
+		if reply.Different {
+			reply.Evidence = d.evidence(now)
+		}
+		out = []Output{SendReply{To: m.Reply, Reply: reply}}
+	case MembersChanged:
+		d.members, d.changed = m.View, true
+	case Tick:
+		d.forget(now)
+	}
+	if d.changed {
+		d.changed, d.digest = false, d.computeDigest()
+		out = append(out, ViewUpdated{View: d.view()})
+	}
+	return out
+}
+
+func (d *Duty) attemptLost(now core.Instant, m AttemptLost) []Output {
+	if at, ok := d.ended[m.Process]; ok && now.Sub(at) < confirmTime {
+		return d.suspect(now, m.Process, []Fingerprint{m.Request})
+	}
+	if d.lost[m.Process] == nil {
+		d.lost[m.Process] = make(map[Fingerprint]core.Instant)
+	}
+	if len(d.lost[m.Process]) < maxRequests {
+		d.lost[m.Process][m.Request] = now
+	}
+	return nil
+}
+
+func (d *Duty) processEnded(now core.Instant, p Process) []Output {
+	d.ended[p] = now
+	var requests []Fingerprint
+	for f, at := range d.lost[p] {
+		if now.Sub(at) < confirmTime {
+			requests = append(requests, f)
+		}
+	}
+	delete(d.lost, p)
+	slices.SortFunc(requests, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return d.suspect(now, p, requests)
+}
+
+// suspect adds evidence that a process ended under some requests.
+func (d *Duty) suspect(now core.Instant, p Process, requests []Fingerprint) []Output {
+	var out []Output
+	var added []Evidence
+	for _, f := range requests {
+		e := d.entry(f)
+		if e.ended[p] || len(e.ended) >= maxProcesses {
+			continue
+		}
+		e.ended[p], e.lastEnd, d.changed = true, now, true
+		added = append(added, d.evidenceOf(now, f, e))
+		out = append(out, Event{Text: "target ended while it had a request", Fields: []any{
+			"request", f, "target", p.Target, "started_at", p.StartedAt, "ended_under_it", e.count(), "held_ms", holdTime(e.count()).Milliseconds(),
+		}})
+	}
+	if len(added) > 0 {
+		out = append(out, SendEvidence{Evidence: added})
+	}
+	return out
+}
+
+// answered excuses a request for the processes that ended under it so far.
+func (d *Duty) answered(now core.Instant, f Fingerprint) []Output {
+	for _, requests := range d.lost {
+		delete(requests, f)
+	}
+	e := d.entries[f]
+	if e == nil || e.count() == 0 {
+		return nil
+	}
+	maps.Copy(e.excused, e.ended)
+	d.changed = true
+	return []Output{SendEvidence{Evidence: []Evidence{d.evidenceOf(now, f, e)}}}
+}
+
+// merge adds the evidence of another VM.
+func (d *Duty) merge(now core.Instant, list []Evidence) {
+	for _, v := range list {
+		if len(v.Ended) == 0 || v.Age < 0 || v.Age >= forgetTime || len(v.Ended) == 1 && v.Age >= forgetUnrepeatedTime {
+			continue
+		}
+		e := d.entry(v.Request)
+		for _, p := range v.Ended {
+			if !e.ended[p] && len(e.ended) < maxProcesses {
+				e.ended[p], d.changed = true, true
+			}
+		}
+		for _, p := range v.Excused {
+			if !e.excused[p] && e.ended[p] {
+				e.excused[p], d.changed = true, true
+			}
+		}
+		e.lastEnd = max(e.lastEnd, now.Add(-v.Age))
+	}
+}
+
+// entry returns the entry of a request. If there are too many, it drops the one
+// with the least evidence.
+func (d *Duty) entry(f Fingerprint) *entry {
+	if e := d.entries[f]; e != nil {
+		return e
+	}
+	if len(d.entries) >= maxRequests {
+		var least Fingerprint
+		var found *entry
+		for f, e := range d.entries {
+			if found == nil || cmp.Or(cmp.Compare(e.count(), found.count()), cmp.Compare(e.lastEnd, found.lastEnd)) < 0 {
+				least, found = f, e
+			}
+		}
+		delete(d.entries, least)
+	}
+	e := &entry{ended: make(map[Process]bool), excused: make(map[Process]bool), trying: new(atomic.Bool)}
+	d.entries[f] = e
+	return e
+}
+
+func (d *Duty) forget(now core.Instant) {
+	for f, e := range d.entries {
+		limit := forgetTime
+		if len(e.ended) == 1 {
+			limit = forgetUnrepeatedTime
+		}
+		if now.Sub(e.lastEnd) >= limit {
+			delete(d.entries, f)
+			d.changed = true
+		}
+	}
+	for p, requests := range d.lost {
+		maps.DeleteFunc(requests, func(_ Fingerprint, at core.Instant) bool { return now.Sub(at) >= confirmTime })
+		if len(requests) == 0 {
+			delete(d.lost, p)
+		}
+	}
+	maps.DeleteFunc(d.ended, func(_ Process, at core.Instant) bool { return now.Sub(at) >= confirmTime })
+}
+
+func holdTime(count int) time.Duration {
+	if count == 0 {
+		return 0
+	}
+	return holdTimes[min(count, len(holdTimes))-1]
+}
+
+// view returns a snapshot. The VMs try a request in the order of their rank for it.
+func (d *Duty) view() *View {
+	v := &View{Digest: d.digest, suspected: make(map[Fingerprint]*suspect)}
+	for f, e := range d.entries {
+		count := e.count()
+		if count == 0 {
+			continue
+		}
+		rank := 0
+		if d.members != nil {
+			rank = d.members.Rank(string(f[:]), "")
+		}
+		v.suspected[f] = &suspect{heldUntil: e.lastEnd.Add(holdTime(count) + time.Duration(rank)*trialStagger), trying: e.trying}
+	}
+	return v
+}
+
+// evidence returns all evidence.
+func (d *Duty) evidence(now core.Instant) []Evidence {
+	out := make([]Evidence, 0, len(d.entries))
+	for f, e := range d.entries {
+		out = append(out, d.evidenceOf(now, f, e))
+	}
+	slices.SortFunc(out, func(a, b Evidence) int { return bytes.Compare(a.Request[:], b.Request[:]) })
+	return out
+}
+
+func (d *Duty) evidenceOf(now core.Instant, f Fingerprint, e *entry) Evidence {
+	return Evidence{Request: f, Ended: sorted(e.ended), Excused: sorted(e.excused), Age: now.Sub(e.lastEnd)}
+}
+
+func sorted(set map[Process]bool) []Process {
+	return slices.SortedFunc(maps.Keys(set), func(a, b Process) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.StartedAt, b.StartedAt))
+	})
+}
+
+// computeDigest returns a digest of the evidence that doesn't depend on its order.
+func (d *Duty) computeDigest() uint64 {
+	var sum uint64
+	for f, e := range d.entries {
+		h := fnv.New64a()
+		h.Write(f[:])
+		for _, set := range []map[Process]bool{e.ended, e.excused} {
+			h.Write([]byte{0xff})
+			for _, p := range sorted(set) {
+				h.Write([]byte(p.Target))
+				h.Write(binary.BigEndian.AppendUint64(nil, uint64(p.StartedAt)))
+			}
+		}
+		sum ^= h.Sum64()
+	}
+	return sum
+}
