upstream: a copy of a refusal is no answer to a later attempt of the request

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection, and clients are told "not run" for requests that a server runs (REFUSED), or the request runs at a second server (TWICE).

Cause: an answer is matched by the request's id, which all attempts of a request share. An attempt that was refused and is sent again to the same target, as to the owner of a key, could use the connection of the refusal and take its copy for the answer.

Change: a connection remembers the ids that were refused on it, and isn't used for these again; after 64 refusals it is closed.

TestCopyOfARefusalIsNoAnswer failed before for 503, 421 and 429. TestHeadThatBreaksOffIsIncomplete answers another report, of answers that end within their head: it cuts the head at each byte under three framings, and passed without a change.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -90,7 +90,7 @@
 // ErrNotSent proves that the target received no byte of the request.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	key := poolKey(r.Address, r.Target)
-	cn := c.pool.get(key, r.Service)
+	cn := c.pool.get(key, r.Service, r.ID)
 	if cn == nil {
 		var err error
 		if cn, err = c.pool.dial(ctx, r.Address, key); err != nil {
@@ -184,7 +184,10 @@
 		resp.OtherProcess = true
 	}
 	cn.idleTimeout = keepAliveTimeout(res.Header)
-	return resp, delimited && !res.Close && cn.reader.Buffered() == 0, nil
+	if resp.NotRun || resp.OtherProcess || resp.Status == http.StatusMisdirectedRequest {
+		cn.refused = append(cn.refused, r.ID)
+	}
+	return resp, delimited && !res.Close && cn.reader.Buffered() == 0 && len(cn.refused) < maxRefused, nil
 }
 
 // keepAliveTimeout returns how long the connection may be idle in the pool.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,22 +80,33 @@
 	idleFor     time.Duration
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// refused holds the ids of the requests that the target refused on the
+	// connection.
+	refused []string
 }
 
+// maxRefused bounds the refusals on a connection, which is then closed.
+const maxRefused = 64
+
 func poolKey(address, target string) string { return address + " " + target }
 
 // get returns the most recently used idle connection to a target that is still
-// usable, or nil.
-func (p *Pool) get(key, service string) *conn {
+// usable for a request, or nil. A connection on which the target has refused the
+// request isn't: a second copy of the refusal would be taken for the answer.
+func (p *Pool) get(key, service, id string) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[key]
-		if len(list) == 0 {
+		i := len(list) - 1
+		for i >= 0 && slices.Contains(list[i].refused, id) {
+			i--
+		}
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[key] = list[:len(list)-1]
+		c := list[i]
+		p.idle[key] = slices.Delete(list, i, i+1)
 		timeout := c.idleTimeout
 		if b, ok := p.distrusted[service]; ok && time.Now().Before(b.until) {
 			timeout = min(timeout, b.bound)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -386,3 +386,61 @@
 		})
 	}
 }
+
+// Guards against a second copy of a refusal that is taken for the answer to a later
+// attempt of the same request on the connection: the caller is told that the
+// request did not run although it runs, or it is sent to another target.
+func TestCopyOfARefusalIsNoAnswer(t *testing.T) {
+	refusal := func(id string, status int) string {
+		return fmt.Sprintf("HTTP/1.1 %d Refused\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+	}
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			ran := make(chan string, 10)
+			var refused atomic.Bool
+			address, conns := startTarget(t, func(n int, id string, c net.Conn) {
+				if id == "r1" && !refused.Swap(true) {
+					_, _ = io.WriteString(c, refusal(id, status))
+					return
+				}
+				ran <- id
+				if n > 0 {
+					_, _ = io.WriteString(c, refusal("r1", status))
+				}
+				_, _ = io.WriteString(c, response(id, "own "+id))
+			})
+			c := newClient()
+			resp, err := send(c, address, "r1")
+			is.NoErr(err)
+			is.True(resp.NotRun)
+			resp, err = send(c, address, "r1")
+			if err == nil {
+				is.True(!resp.NotRun)
+			}
+			is.Equal(<-ran, "r1")
+			resp, err = send(c, address, "r2") // other requests still use the connection
+			is.NoErr(err)
+			is.Equal(string(resp.Body), "own r2")
+			is.Equal(conns.Load(), int32(2))
+		})
+	}
+}
+
+// Guards against a response whose head breaks off, at any byte, and that is passed
+// on as a success with an empty or short body.
+func TestHeadThatBreaksOffIsIncomplete(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\n" + framing + "\r\n"
+		for cut := range len(head) {
+			is := is.New(t)
+			address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
+				_, _ = io.WriteString(c, head[:cut])
+				_ = c.(*net.TCPConn).CloseWrite()
+			})
+			resp, err := send(newClient(), address, "r1")
+			is.True(resp == nil)
+			is.True(errors.Is(err, ErrIncomplete) || cut == 0 && errors.Is(err, ErrConnectionLost))
+		}
+	}
+}
