--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +50,30 @@
 	d.waitUntilServed("/seat/1", 4711)
 }
 
+// Guards against an odd entry among the registrations that ends the VMs, or after
+// which they no longer follow the list (other operators' reports).
+func TestOddRegistrationIsSkipped(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	for i, odd := range []string{
+		strings.Repeat("[", 200_000), `{"address":"127.0.0.1:99999","born":1,"info":{"service":"desk","zone":"z0","slots":1e30},"status":null}`, "\xff\x00", "{}",
+	} {
+		d.store.Put("keyed.servers", fmt.Sprint("odd", i), []byte(odd))
+	}
+	added := d.server(wire.ServerOptions{ID: "added", Service: "desk", Zone: "z0", Slots: 8})
+	d.waitUntil("the server that registered after the odd entries gets requests", func() bool {
+		for _, v := range d.vms {
+			r, err := d.send(v, "GET", "/read/1", 0)
+			is.NoErr(err)
+			d.checkResponse(r)
+		}
+		return len(added.Runs()) > 0
+	})
+	for _, v := range d.vms {
+		is.True(d.isReady(v))
+	}
+}
+
 // waitUntilServed waits until every VM serves a path.
 func (d *deployment) waitUntilServed(path string, key int) {
 	d.t.Helper()
