ownership: a process that is not known to be the same is not renewed

Cause: the renewer took an id without a registration for the process in the ledger, as a VM that has just started and has read the ledger before the registrations, or one that had seen a later process of the id whose registration has ended.

Change: a process that this VM has never heard of, neither registered nor by a response, isn't renewed, and the start of the latest process that was registered under an id is remembered.

--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -32,17 +32,17 @@
 	losses bool
 	// started is set once the VMs have started for the first time.
 	started bool
+	// distinguishProcesses is set if two processes of a target count as two holders.
+	distinguishProcesses bool
 	// holds is the grant with the highest token that any target accepted.
 	holds [Units]struct {
 		token  int64
 		holder string
 	}
-	// distinguishProcesses is set if two processes of a target count as two holders.
-	distinguishProcesses bool
-	vms                  []*simVM
-	targets              []*simTarget
-	violations           []string
-	trace                []string
+	vms        []*simVM
+	targets    []*simTarget
+	violations []string
+	trace      []string
 }
 
 type simVM struct {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -64,19 +64,8 @@
 	for seed := range numSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
 			c := newCluster(seed, 5, 4)
-			c.losses = true
-			c.run(8 * time.Second)
-			is.Equal(c.unitsHeld(), Units) // assigned at the start
-			for i := range 16 {
-				if i%4 == 1 {
-					c.loseRecords(time.Duration(c.rng.IntN(9000)) * time.Millisecond)
-				}
-				c.injectFault()
-				c.run(time.Duration(100+c.rng.IntN(3000)) * time.Millisecond)
-			}
-			c.run(30 * time.Second) // every fault has ended by then
+			c.runWithLosses(t)
 			if len(c.violations) > 0 {
 				t.Fatalf("seed %d: %v\n%s", seed, c.violations[0], strings.Join(c.traceTail(), "\n"))
 			}
@@ -87,6 +76,38 @@
 	}
 }
 
+// runWithLosses runs faults among which are losses of the store's newest records,
+// and lets them end.
+func (c *cluster) runWithLosses(t *testing.T) {
+	c.losses = true
+	c.run(8 * time.Second)
+	is.New(t).Equal(c.unitsHeld(), Units) // assigned at the start
+	for i := range 16 {
+		if i%4 == 1 {
+			c.loseRecords(time.Duration(c.rng.IntN(9000)) * time.Millisecond)
+		}
+		c.injectFault()
+		c.run(time.Duration(100+c.rng.IntN(3000)) * time.Millisecond)
+	}
+	c.run(30 * time.Second)
+}
+
+// TestRestartedTargetGetsHigherTokens guards against a process that is granted the
+// keys of its predecessor under the same id with the predecessor's token.
+func TestRestartedTargetGetsHigherTokens(t *testing.T) {
+	for seed := range numSeeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(seed, 5, 4)
+			c.distinguishProcesses = true
+			c.runWithLosses(t)
+			if len(c.violations) > 0 {
+				t.Fatalf("seed %d: %v\n%s", seed, c.violations[0], strings.Join(c.traceTail(), "\n"))
+			}
+		})
+	}
+}
+
 // injectFault starts one fault that ends by itself.
 func (c *cluster) injectFault() {
 	v, t := c.vms[c.rng.IntN(len(c.vms))], c.targets[c.rng.IntN(len(c.targets))]
--- a/internal/ownership/renewer.go
+++ b/internal/ownership/renewer.go
@@ -121,6 +121,9 @@
 	targets      *discovery.View
 	members      *roster.View
 	targetStates map[core.Target]*targetState
+	// newestProcess is the start of the latest process that was registered under each
+	// id that is registered or holds keys.
+	newestProcess map[core.Target]int64
 	// directoryAsOf is the latest time at which the registrations were current.
 	directoryAsOf core.Instant
 	// quorumAt is the start of the last check in which a majority had no newer
@@ -166,7 +169,7 @@
 // NewRenewer returns a renewer without grants. The VM process must have started
 // no later than now.
 func NewRenewer(now core.Instant) *Renewer {
-	return &Renewer{startedAt: now, ledger: &View{}, targets: &discovery.View{}, targetStates: make(map[core.Target]*targetState)}
+	return &Renewer{startedAt: now, ledger: &View{}, targets: &discovery.View{}, targetStates: make(map[core.Target]*targetState), newestProcess: make(map[core.Target]int64)}
 }
 
 // Step implements duty.Step.
@@ -186,6 +189,7 @@
 		}
 	case TargetsChanged:
 		r.targets = m.View
+		r.recordProcesses()
 		r.selectTargets()
 	case MembersChanged:
 		r.members = m.View
@@ -261,6 +265,18 @@
 	}
 }
 
+// recordProcesses updates newestProcess, which outlasts a registration.
+func (r *Renewer) recordProcesses() {
+	for id, t := range r.targets.Targets {
+		r.newestProcess[id] = max(r.newestProcess[id], t.StartedAt)
+	}
+	for id := range r.newestProcess {
+		if s := r.targetStates[id]; r.targets.Targets[id] == nil && (s == nil || len(s.ranges) == 0) {
+			delete(r.newestProcess, id)
+		}
+	}
+}
+
 // renewDue renews the grants that are due. Processes that were replaced hold
 // nothing and are skipped.
 func (r *Renewer) renewDue(now core.Instant) []Output {
@@ -313,7 +329,13 @@
 // sameProcess reports whether the target's process is, as far as is known, still
 // the one in the ledger.
 func (r *Renewer) sameProcess(id core.Target, s *targetState) bool {
-	if t, ok := r.targets.Targets[id]; ok && t.StartedAt != s.holder.StartedAt {
+	t, registered := r.targets.Targets[id]
+	if registered && t.StartedAt != s.holder.StartedAt || r.newestProcess[id] > s.holder.StartedAt {
+		return false
+	}
+	if !registered && s.confirmedAt == 0 {
+		// A VM that has just started may see neither the end of the process's
+		// registration nor the next process.
 		return false
 	}
 	if s.exited {
--- a/internal/ownership/restore_test.go
+++ b/internal/ownership/restore_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
 )
@@ -155,6 +156,8 @@
 		assignments := NewAssignments()
 		assignments.Set(0, Assignment{Owner: Holder{Target: "t0"}, Token: 1})
 		r.Step(now, MembersChanged{View: roster.New(roster.Member{VM: "v0"}).View()})
+		r.Step(now, TargetsChanged{View: targetsView(discovery.Registration{ID: "t0", Service: service})})
+		r.Step(now, DirectoryRead{AsOf: now})
 		view := &View{Services: map[core.Service]*Assignments{service: assignments}, Next: 6, StreamEnd: 6, Restored: c}
 		is.Equal(hasOutput[Renew](r.Step(now, LedgerChanged{View: view, AsOf: now})), c != Unconfirmed)
 	}
