soak: the store comes back from an older copy

A further kind of event: the store goes on for a while, is away for 0.3 s and comes back as it was at the start of the event. What operators and targets wrote since is written again, in the order of the keys, what the VMs wrote is lost. The promises are checked as before.

--- a/soak/events_test.go
+++ b/soak/events_test.go
@@ -22,6 +22,8 @@
 	restartDelay = 700 * time.Millisecond
 	// linkDelay is the delay of a slow link, in each direction.
 	linkDelay = 60 * time.Millisecond
+	// restoreTime is how long a store is away that is restored from an older copy.
+	restoreTime = 300 * time.Millisecond
 	// storeDelay is the delay of a slow store.
 	storeDelay = 300 * time.Millisecond
 )
@@ -51,7 +53,7 @@
 	switch e.Kind {
 	case StopVM, KillVM, PauseVM, ReloadVM, CutStore, RejectStore, ResetStore, ResetCaller:
 		c.applyVM(e, c.vms[e.Index])
-	case StoreDown, StoreSlow, StoreLosesResponses, StoreCompact:
+	case StoreDown, StoreSlow, StoreLosesResponses, StoreCompact, StoreRestored:
 		c.applyStore(e)
 	case Configure:
 		c.configure(1 + int(e.Duration/time.Second))
@@ -143,6 +145,15 @@
 	case StoreCompact:
 		c.store.CompactTopics()
 		return
+	case StoreRestored:
+		backup := c.store.Backup()
+		time.Sleep(e.Duration)
+		defer c.history.begin(storeComponent)()
+		c.store.SetFaults(platform.Faults{Down: true})
+		time.Sleep(restoreTime)
+		c.store.Restore(backup, wire.ExternalTopics...)
+		c.store.SetFaults(platform.Faults{})
+		return
 	}
 	defer c.history.begin(storeComponent)()
 	time.Sleep(e.Duration)
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -35,6 +35,9 @@
 	StoreSlow           Kind = "store-slow"
 	StoreLosesResponses Kind = "store-loses" // responses to appends are lost
 	StoreCompact        Kind = "store-forget"
+	// StoreRestored brings the store back from a copy of the event's start, without
+	// what the VMs wrote since.
+	StoreRestored Kind = "store-restored"
 
 	Configure Kind = "configure"
 	Evacuate  Kind = "evacuate" // evacuates a failure domain, and reverts it
@@ -66,6 +69,7 @@
 	{StoreSlow, 2},
 	{StoreLosesResponses, 3},
 	{StoreCompact, 1},
+	{StoreRestored, 2},
 	{Configure, 5},
 	{Evacuate, 2},
 }
--- a/standin/wire/names.go
+++ b/standin/wire/names.go
@@ -30,6 +30,9 @@
 	headerEra       = "Store-Era"
 )
 
+// ExternalTopics are the topics that operators and servers write.
+var ExternalTopics = []string{topicOperators, topicServers}
+
 // RequestHeader returns the headers of a caller's request. The key has no effect
 // on services that aren't sharded.
 func RequestHeader(id string, deadline time.Duration, key int) http.Header {
--- a/standin/wire/store.go
+++ b/standin/wire/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -94,13 +95,25 @@
 }
 
 // Restore replaces the store by an earlier copy of itself and begins an era. The
-// records since then are lost, and their offsets are assigned again.
-func (s *Store) Restore(b Backup) {
+// records since then are lost, and their offsets are assigned again. Of the given
+// topics, the newest of the lost records of each key are written again, in the order
+// of the keys.
+func (s *Store) Restore(b Backup, rewritten ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, t := range s.topics {
-		t.records = slices.Clone(t.records[:b.ends[name]])
+		end := min(b.ends[name], len(t.records))
+		lost := make(map[string][]byte)
+		for _, r := range t.records[end:] {
+			lost[string(r[:1+int(r[0])])] = r
+		}
+		t.records = slices.Clone(t.records[:end])
 		t.first = min(t.first, int64(len(t.records)))
+		if slices.Contains(rewritten, name) {
+			for _, key := range slices.Sorted(maps.Keys(lost)) {
+				t.records = append(t.records, lost[key])
+			}
+		}
 	}
 	s.era++
 	close(s.changed)
