--- a/tools/check.sh
+++ b/tools/check.sh
@@ -33,7 +33,15 @@
 # Tests with real processes and leases run alone: with every core taken by other
 # tests, leases end before they can be renewed.
 alone='/(scenario|soak|internal/demo|internal/app|internal/node)$'
+# On arm64 the Go runtime crashes at times under the race detector in these
+# packages, whose tests use testing/synctest.
+crashing='^$'
+if [ "$(go env GOHOSTARCH)" = arm64 ]; then
+  crashing='/internal/replica$'
+  echo "== go test, without the race detector on arm64"
+  go list ./... | grep -E "$crashing" | xargs go test -timeout 20m "${skip[@]}"
+fi
 echo "== go test -race"
-go list ./... | grep -Ev "$alone" | xargs go test -race -timeout 20m "${skip[@]}"
+go list ./... | grep -Ev "$alone" | grep -Ev "$crashing" | xargs go test -race -timeout 20m "${skip[@]}"
 echo "== go test -race, one package at a time"
 go list ./... | grep -E "$alone" | xargs go test -race -p 1 -timeout 30m "${skip[@]}"
