quarantine, ingress: log lines name a suspected request by its fingerprint

From a request's id on-call finds the processes that ended under the same request: the line of a request that is suspected has its fingerprint, and so has the line of each process that ended.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -79,11 +79,12 @@
 	r.fingerprint = sync.OnceValue(r.computeFingerprint)
 	if !s.Quarantine.Empty() {
 		a := s.Quarantine.Admit(r.fingerprint())
+		r.suspected = a.Suspected
 		if a.Held {
 			r.reject(&rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: a.Until.Sub(s.Clock())})
 			return
 		}
-		if r.suspected = a.Suspected; a.Done != nil {
+		if a.Done != nil {
 			defer a.Done()
 		}
 	}
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -119,6 +119,9 @@
 	if r.keyed {
 		fields = append(fields, "key", r.key)
 	}
+	if r.suspected {
+		fields = append(fields, "fingerprint", r.fingerprint().String())
+	}
 	if r.sends > 0 || r.reason != "" {
 		fields = append(fields,
 			"sends", r.sends, "targets", r.tried, "decision", r.reason, "about", r.lastDecision.target, "expected_ms", r.lastDecision.expected.Milliseconds(),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -148,7 +148,7 @@
 		e.ended[p], e.lastEnd, d.changed = true, now, true
 		added = append(added, d.evidenceOf(now, f, e))
 		out = append(out, Event{Text: "target ended while it had a request", Fields: []any{
-			"request", f, "target", p.Target, "started_at", p.StartedAt, "ended_under_it", e.count(), "held_ms", holdTime(e.count()).Milliseconds(),
+			"fingerprint", f.String(), "target", p.Target, "started_at", p.StartedAt, "ended_under_it", e.count(), "held_ms", holdTime(e.count()).Milliseconds(),
 		}})
 	}
 	if len(added) > 0 {
