--- a/standin/wire/names.go
+++ b/standin/wire/names.go
@@ -28,6 +28,10 @@
 	headerLoad      = "Celeryhook-Server-Load"
 	headerCold      = "Celeryhook-Cold-Ms"
 	headerEra       = "Store-Era"
+
+	headerLimit      = "Server-Limit"
+	headerLeaving    = "Server-Leaving"
+	headerRetryAfter = "Retry-After"
 )
 
 // ExternalTopics are the topics that operators and servers write.
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -67,6 +67,7 @@
 	startedAt int64
 
 	mu        sync.Mutex
+	announces Announcement
 	faults    target.Faults
 	running   int
 	sequence  int
@@ -77,6 +78,8 @@
 	runs    []Run
 	orders  int
 	stopped bool
+	// turnedAway holds when requests were turned away.
+	turnedAway []time.Time
 }
 
 // StartServer starts a server and registers it.
@@ -141,6 +144,50 @@
 	s.faults = f
 }
 
+// Announcement is what a server announces of itself in its responses.
+type Announcement struct {
+	// RateLimit is how many requests a second the server accepts from all VMs, or 0.
+	RateLimit float64
+	// Leaving is set if the server is about to exit.
+	Leaving bool
+	// Pause makes the server turn requests away and ask for none during that time.
+	Pause time.Duration
+}
+
+// Announce sets what the server announces from now on.
+func (s *Server) Announce(a Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announces = a
+}
+
+// setAnnouncement adds the headers of the announcement, and reports whether the
+// request is turned away.
+func (s *Server) setAnnouncement(h http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.announces
+	if a.RateLimit > 0 {
+		h.Set(headerLimit, strconv.FormatFloat(a.RateLimit, 'f', -1, 64))
+	}
+	if a.Leaving {
+		h.Set(headerLeaving, "1")
+	}
+	if a.Pause > 0 {
+		h.Set(headerRetryAfter, strconv.FormatFloat(a.Pause.Seconds(), 'f', 3, 64))
+		h.Set(headerNotRun, "1")
+		s.turnedAway = append(s.turnedAway, time.Now())
+	}
+	return a.Pause > 0
+}
+
+// TurnedAway returns when the server turned requests away because it wants none.
+func (s *Server) TurnedAway() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.turnedAway)
+}
+
 // Runs returns the runs so far. A server with an observer records none.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -287,6 +334,10 @@
 	id := r.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
 	body, _ := io.ReadAll(r.Body) // a truncated body is recorded as received
+	if s.setAnnouncement(w.Header()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
 	key := -1
 	if s.Sharded {
