ownership: a restored ledger takes over the confirmation of what it was made of

A VM that had missed records wrote the ledger that the store still held as confirmed by all, although the leader had written that one as confirmed by a majority only. Found while reading; TestUnconfirmedLedgerOfTheStoreStaysUnconfirmed failed before.

--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -20,8 +20,9 @@
 	startedAt  core.Instant
 
 	ledger *View
-	// asOf is when the ledger was last known to be current, and streamAsOf the same
-	// of the stream, which the ledger may not be restored in.
+	// asOf is when the ledger was last known to be current, and streamAsOf when
+	// ledger.StreamEnd was the end of the stream. They differ while the ledger is not
+	// in force.
 	asOf       core.Instant
 	streamAsOf core.Instant
 	targets    *discovery.View
--- a/internal/ownership/restore.go
+++ b/internal/ownership/restore.go
@@ -74,7 +74,7 @@
 		if age < rank*electionStagger {
 			return nil
 		}
-		return a.appendLedger(now, ConfirmedByAll, false)
+		return a.appendLedger(now, ConfirmedByAll, false) // there is nothing to lose
 	}
 	if !a.leading && age < restoreDelay+rank*electionStagger {
 		return nil
@@ -108,8 +108,7 @@
 	default:
 		return nil
 	}
-	// What an earlier loss left unconfirmed stays so.
-	return a.appendLedger(now, max(c, a.ledger.Restored), false)
+	return a.appendLedger(now, c, false)
 }
 
 // confirmLedger waits until no target can hold a grant under a record that is lost,
@@ -140,6 +139,9 @@
 	if s := base.stored; s != nil && (base.Next == 0 || replica.Index(s.Next) > replica.Index(base.Next)) {
 		base = s // this VM has missed records that the store still holds
 	}
+	if !newTokens {
+		c = max(c, base.Restored) // what an earlier loss left unconfirmed stays so
+	}
 	era, token := replica.Era(a.ledger.StreamEnd), a.ledger.StreamEnd+1
 	var records []replica.Record
 	for name, assignments := range base.Services {
--- a/internal/ownership/restore_test.go
+++ b/internal/ownership/restore_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -162,3 +163,28 @@
 		is.Equal(hasOutput[Renew](r.Step(now, LedgerChanged{View: view, AsOf: now})), c != Unconfirmed)
 	}
 }
+
+// Guards against a ledger that counts as confirmed although the one that the store
+// still holds was not, and this VM has missed its records.
+func TestUnconfirmedLedgerOfTheStoreStaysUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	a := NewAssigner(Leader{VM: "v0"}, false)
+	now := core.Instant(time.Hour)
+	a.Step(now, MembersChanged{View: roster.New(roster.Member{VM: "v0"}).View()})
+	l := NewLedger()
+	is.NoErr(l.Apply(eraRecords(t, "old", 1, 1, 0), replica.NewOffset(1, 2)))
+	unconfirmed, err := encodeLeader(Leader{VM: "v1"}, minGrantDuration, 1, ConfirmedByMajority)
+	is.NoErr(err)
+	unconfirmed.Offset = replica.NewOffset(2, 2)
+	is.NoErr(l.Apply(append(eraRecords(t, "new", 1, 2, 0), unconfirmed), replica.NewOffset(2, 3)))
+	a.ledger = l.View()
+	for _, o := range a.appendLedger(now, ConfirmedByAll, false) {
+		if o, ok := o.(Append); ok {
+			var leader leaderRecord
+			is.NoErr(json.Unmarshal(o.Records[len(o.Records)-1].Value, &leader))
+			is.Equal(leader.Restored, ConfirmedByMajority)
+			return
+		}
+	}
+	t.Error("nothing is appended")
+}
