quarantine: evidence against a request that comes for long stays current

Found while reading: once eight processes had ended under a request, further ends were not recorded, so that after the last hour it would have been tried without end. The eight that started last are kept now, on all VMs the same ones. TestEvidenceIsBounded failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -43,6 +43,8 @@
 	ended, excused map[Process]bool
 	lastEnd        core.Instant
 	trying         *atomic.Bool
+	// digest is the entry's part of Duty.digest.
+	digest uint64
 }
 
 // count returns how many processes ended under the request that it isn't excused
@@ -57,6 +59,18 @@
 	return n
 }
 
+// dropOldest drops the processes that started first if there are too many. All VMs
+// keep the same ones, in whichever order they learn of them.
+func (e *entry) dropOldest() {
+	for len(e.ended) > maxProcesses {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(e.ended)), func(a, b Process) int {
+			return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.Target, b.Target))
+		})
+		delete(e.ended, oldest)
+		delete(e.excused, oldest)
+	}
+}
+
 // Duty is the state machine of the quarantine.
 type Duty struct {
 	members *roster.View
@@ -66,9 +80,10 @@
 	lost map[Process]map[Fingerprint]core.Instant
 	// ended holds when processes were found to have ended.
 	ended map[Process]core.Instant
-	// changed is set while the last view and digest are out of date.
+	// digest is a digest of all evidence that doesn't depend on its order.
+	digest uint64
+	// changed is set while the last view is out of date.
 	changed bool
-	digest  uint64
 }
 
 // NewDuty returns a duty that suspects no request.
@@ -90,9 +105,6 @@
 		d.merge(now, m.Evidence)
 	case Compare:
 		d.merge(now, m.Evidence)
-		if d.changed {
-			d.digest = d.computeDigest()
-		}
 		reply := CompareReply{Different: m.Digest != d.digest}
 		if reply.Different {
 			reply.Evidence = d.evidence(now)
@@ -104,7 +116,7 @@
 		d.forget(now)
 	}
 	if d.changed {
-		d.changed, d.digest = false, d.computeDigest()
+		d.changed = false
 		out = append(out, ViewUpdated{View: d.view()})
 	}
 	return out
@@ -142,10 +154,11 @@
 	var added []Evidence
 	for _, f := range requests {
 		e := d.entry(f)
-		if e.ended[p] || len(e.ended) >= maxProcesses {
+		if e.ended[p] {
 			continue
 		}
-		e.ended[p], e.lastEnd, d.changed = true, now, true
+		e.ended[p], e.lastEnd = true, now
+		d.updated(f, e)
 		added = append(added, d.evidenceOf(now, f, e))
 		out = append(out, Event{Text: "target ended while it had a request", Fields: []any{
 			"fingerprint", f.String(), "target", p.Target, "started_at", p.StartedAt, "ended_under_it", e.count(), "held_ms", holdTime(e.count()).Milliseconds(),
@@ -167,7 +180,7 @@
 		return nil
 	}
 	maps.Copy(e.excused, e.ended)
-	d.changed = true
+	d.updated(f, e)
 	return []Output{SendEvidence{Evidence: []Evidence{d.evidenceOf(now, f, e)}}}
 }
 
@@ -179,16 +192,15 @@
 		}
 		e := d.entry(v.Request)
 		for _, p := range v.Ended {
-			if !e.ended[p] && len(e.ended) < maxProcesses {
-				e.ended[p], d.changed = true, true
-			}
+			e.ended[p] = true
 		}
 		for _, p := range v.Excused {
-			if !e.excused[p] && e.ended[p] {
-				e.excused[p], d.changed = true, true
+			if e.ended[p] {
+				e.excused[p] = true
 			}
 		}
 		e.lastEnd = max(e.lastEnd, now.Add(-v.Age))
+		d.updated(v.Request, e)
 	}
 }
 
@@ -206,7 +218,7 @@
 				least, found = f, e
 			}
 		}
-		delete(d.entries, least)
+		d.remove(least)
 	}
 	e := &entry{ended: make(map[Process]bool), excused: make(map[Process]bool), trying: new(atomic.Bool)}
 	d.entries[f] = e
@@ -220,8 +232,7 @@
 			limit = forgetUnrepeatedTime
 		}
 		if now.Sub(e.lastEnd) >= limit {
-			delete(d.entries, f)
-			d.changed = true
+			d.remove(f)
 		}
 	}
 	for p, requests := range d.lost {
@@ -243,14 +254,19 @@
 // view returns a snapshot. The VMs try a request in the order of their rank for it.
 func (d *Duty) view() *View {
 	v := &View{Digest: d.digest, suspected: make(map[Fingerprint]*suspect)}
+	var vms, self uint64
+	if d.members != nil {
+		vms = uint64(d.members.Size())
+		self = uint64(slices.IndexFunc(d.members.All(), func(m roster.Member) bool { return m.VM == d.members.Self().VM }))
+	}
 	for f, e := range d.entries {
 		count := e.count()
 		if count == 0 {
 			continue
 		}
-		rank := 0
-		if d.members != nil {
-			rank = d.members.Rank(string(f[:]), "")
+		rank := uint64(0)
+		if vms > 0 {
+			rank = (self + binary.BigEndian.Uint64(f[:])%vms) % vms // differs between the VMs
 		}
 		v.suspected[f] = &suspect{heldUntil: e.lastEnd.Add(holdTime(count) + time.Duration(rank)*trialStagger), trying: e.trying}
 	}
@@ -277,20 +293,27 @@
 	})
 }
 
-// computeDigest returns a digest of the evidence that doesn't depend on its order.
-func (d *Duty) computeDigest() uint64 {
-	var sum uint64
-	for f, e := range d.entries {
-		h := fnv.New64a()
-		h.Write(f[:])
-		for _, set := range []map[Process]bool{e.ended, e.excused} {
-			h.Write([]byte{0xff})
-			for _, p := range sorted(set) {
-				h.Write([]byte(p.Target))
-				h.Write(binary.BigEndian.AppendUint64(nil, uint64(p.StartedAt)))
-			}
+// updated records that the evidence against a request has changed.
+func (d *Duty) updated(f Fingerprint, e *entry) {
+	e.dropOldest()
+	h := fnv.New64a()
+	h.Write(f[:])
+	for _, set := range []map[Process]bool{e.ended, e.excused} {
+		h.Write([]byte{0xff})
+		for _, p := range sorted(set) {
+			h.Write([]byte(p.Target))
+			h.Write(binary.BigEndian.AppendUint64(nil, uint64(p.StartedAt)))
 		}
-		sum ^= h.Sum64()
 	}
-	return sum
+	d.digest ^= e.digest
+	e.digest = h.Sum64()
+	d.digest ^= e.digest
+	d.changed = true
+}
+
+// remove forgets the evidence against a request.
+func (d *Duty) remove(f Fingerprint) {
+	d.digest ^= d.entries[f].digest
+	delete(d.entries, f)
+	d.changed = true
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -217,7 +217,10 @@
 	for i := range 3 * maxProcesses {
 		f.crash(0, process(i+10), harmful)
 	}
+	f.now = f.now.Add(holdTimes[2])
+	f.crash(0, process(100), harmful)
 	is.Equal(len(f.vms[0].entries[harmful].ended), maxProcesses)
+	is.True(f.view[0].Admit(f.now, harmful).Held) // the last end counts, however many there were
 	f.now = f.now.Add(forgetUnrepeatedTime)
 	f.step(0, Tick{})
 	is.Equal(len(f.vms[0].entries), 1)
