--- a/internal/ownership/restore.go
+++ b/internal/ownership/restore.go
@@ -74,7 +74,7 @@
 		if age < rank*electionStagger {
 			return nil
 		}
-		return a.appendLedger(now, ConfirmedByAll, false) // there is nothing to lose
+		return a.appendLedger(now, ConfirmedByAll, false) // no record was ever written
 	}
 	if !a.leading && age < restoreDelay+rank*electionStagger {
 		return nil
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -18,7 +18,7 @@
 type Evidence struct {
 	Request Fingerprint
 	// Ended are the processes that ended while they had the request, and Excused
-	// those of them that ended before the request was answered by another one.
+	// those of them after which a target has responded to it.
 	Ended, Excused []Process
 	// Age is the time since the last of them ended.
 	Age time.Duration
