balance: estimates of a target without results fade

Cause: only results update a target's failure rate, pace and mean slowdown. A target that looks worse than the others gets no requests while the others have room, so that its estimates stayed for good. The same held for a sole owner of keys: responses just within their deadline raised the estimate above it, and the VM rejected all requests for the keys from then on. Evidence: with the estimates printed, the paused server stayed at a failure rate of 0.10, cost 239 us beside 138 us, and got a request only when the pace of the others happened to rise.

Change: estimates without a result for 5 s fade towards the usual value with a half-life of 1 s, and a request whose estimate exceeds its deadline is sent all the same to a target that has been idle that long.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -174,7 +174,9 @@
 	}
 	remaining := req.Deadline.Sub(now)
 	expected := t.expectedLatency(now, b.workOf(req))
-	if expected > remaining {
+	// An idle target gets a request all the same, as only results update the
+	// estimate.
+	if expected > remaining && !t.isIdle(now) {
 		d = b.rejectOverloaded(now, t, "deadline")
 		d.ExpectedLatency = expected
 		return d
@@ -364,7 +366,7 @@
 
 func (b *Balancer) retryAfter(now core.Instant, t *target) time.Duration {
 	over := max(0, t.occupancy(now)-t.slots()) / t.slots() / 2
-	d := time.Duration(float64(b.work.mean(t.Service)) * t.paceOrUsual() * over)
+	d := time.Duration(float64(b.work.mean(t.Service)) * t.paceOrUsual(now) * over)
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -31,6 +31,11 @@
 	// failureRateSamples is the weight of a new outcome in the failure rate, as
 	// 1/n.
 	failureRateSamples = 10
+	// The estimates of a target that has had no result for estimateAge fade with
+	// estimateHalfLife. A target that looks bad gets few requests or none, and only
+	// results update the estimates.
+	estimateAge      = 5 * time.Second
+	estimateHalfLife = time.Second
 	// A target is ejected for ejectTime after ejectAfter consecutive failures.
 	// The time doubles with each further ejection without a success in between,
 	// up to maxEjectTime.
@@ -72,8 +77,10 @@
 	meanSlowdown        float64
 	failureRate         float64
 	consecutiveFailures int
-	ejectedUntil        core.Instant
-	ejectDuration       time.Duration
+	// resultAt is when pace and failureRate were last updated.
+	resultAt      core.Instant
+	ejectedUntil  core.Instant
+	ejectDuration time.Duration
 	// unreachable is set when a connection fails and cleared when a probe
 	// succeeds.
 	unreachable bool
@@ -116,18 +123,41 @@
 	if t.meanSlowdown == 0 {
 		return 1
 	}
-	return t.meanSlowdown + (t.load.Slowdown-t.meanSlowdown)*decay(now.Sub(t.loadAt), slowdownHalfLife)
+	age := now.Sub(t.loadAt)
+	mean := 1 + (t.meanSlowdown-1)*fade(age)
+	return mean + (t.load.Slowdown-t.meanSlowdown)*decay(age, slowdownHalfLife)
 }
 
 func (t *target) slots() float64 { return float64(max(t.Slots, 1)) }
 
-func (t *target) paceOrUsual() float64 {
+// paceOrUsual returns the pace, which approaches the usual one without results.
+func (t *target) paceOrUsual(now core.Instant) float64 {
 	if t.pace > 0 {
-		return t.pace
+		return 1 + (t.pace-1)*fade(now.Sub(t.resultAt))
 	}
 	return 1
 }
 
+// fade returns the weight, from 1 to 0, of an estimate of the given age.
+func fade(age time.Duration) float64 {
+	return decay(max(0, age-estimateAge), estimateHalfLife)
+}
+
+// isIdle reports whether the target has had no request for so long that its
+// estimates are unreliable.
+func (t *target) isIdle(now core.Instant) bool {
+	return t.inFlight == 0 && now.Sub(t.resultAt) >= estimateAge
+}
+
+// beginUpdate ages the estimates before a new result is added.
+func (t *target) beginUpdate(now core.Instant) {
+	if t.pace > 0 {
+		t.pace = t.paceOrUsual(now)
+	}
+	t.failureRate *= fade(now.Sub(t.resultAt))
+	t.resultAt = now
+}
+
 const (
 	// nearFullSlowdown is the fraction of a service time by which requests at an
 	// almost full target take longer.
@@ -152,7 +182,7 @@
 func (t *target) expectedLatency(now core.Instant, w work) time.Duration {
 	load := min(1, (t.occupancy(now)+1)/t.slots())
 	usual := float64(w.request)*(1+nearFullSlowdown*load*load) + float64(w.queued)*t.queueLength(now)
-	return time.Duration(usual * t.slowdown(now) * t.paceOrUsual())
+	return time.Duration(usual * t.slowdown(now) * t.paceOrUsual(now))
 }
 
 // meanDuration returns the mean time of a request with the given work, without
@@ -169,7 +199,7 @@
 // cost returns the expected latency with penalties for failures and for another
 // failure domain. The target with the lowest cost is chosen.
 func (t *target) cost(now core.Instant, w work, domain core.FailureDomain) time.Duration {
-	c := float64(t.expectedLatency(now, w)) * (1 + failurePenalty*t.failureRate)
+	c := float64(t.expectedLatency(now, w)) * (1 + failurePenalty*t.failureRate*fade(now.Sub(t.resultAt)))
 	if t.FailureDomain != domain {
 		c = c*crossDomainFactor + float64(crossDomainCost)
 	}
@@ -210,6 +240,7 @@
 // duration without the estimated queueing and slowdown: a sample of the route's
 // work.
 func (t *target) recordDuration(now core.Instant, elapsed time.Duration, w work) time.Duration {
+	t.beginUpdate(now)
 	usual := float64(w.request) + float64(w.queued)*t.queueLength(now)
 	ratio := float64(elapsed) / (t.slowdown(now) * usual)
 	if t.pace == 0 {
@@ -222,6 +253,7 @@
 // recordOutcome updates the failure rate by the outcome of an attempt and
 // reports whether the target was ejected by it.
 func (t *target) recordOutcome(now core.Instant, succeeded bool) bool {
+	t.beginUpdate(now)
 	if succeeded {
 		t.failureRate -= t.failureRate / failureRateSamples
 		t.consecutiveFailures, t.ejectDuration = 0, 0
