balance: spread callers of a paused target, report malformed announcements

Callers of a target that wants no requests for a time were all told to return at the very end of the pause. They now return from its end over as long a time as they came from, a second at most.

A value of Retry-After or Server-Limit that can't be read was ignored without a trace. The balancer reports it once for each process; the VM counts it (announcements_malformed) and logs it.

A target that responds but wants no requests is not sent health checks either until its pause ends.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -7,7 +7,8 @@
 )
 
 // maxPausedRetryAfter bounds the retry delay for callers of a target that wants no
-// requests: the key may get another owner meanwhile.
+// requests: the key may get another owner meanwhile. It also bounds the time over
+// which callers are spread that may return at the end of the pause.
 const maxPausedRetryAfter = time.Second
 
 // announced holds what a target announced last.
@@ -26,8 +27,12 @@
 		return nil
 	}
 	out := b.recordRateLimit(now, t, a, sentAt)
+	if a.Malformed && !t.malformedReported {
+		t.malformedReported = true
+		out = append(out, MalformedAnnouncement{Target: t.ID, Service: t.Service})
+	}
 	if until := now.Add(a.Pause); a.Pause > 0 && until.After(t.pausedUntil) {
-		t.pausedUntil = until
+		t.pausedUntil, t.pause = until, a.Pause
 		out = append(out, Event{Text: "target wants no requests for a time", Fields: []any{
 			"target", t.ID, "service", t.Service, "pause_ms", a.Pause.Milliseconds(),
 		}})
@@ -62,9 +67,14 @@
 }
 
 // rejectPaused rejects a request because the owner of its key wants none for a
-// time.
+// time. Callers that may return at the end of the pause are spread over as long a
+// time as they come from, so that they don't return all at once.
 func (b *Balancer) rejectPaused(now core.Instant, t *target) Decision {
 	d := b.rejectOverloaded(now, t, "paused")
-	d.RetryAfter = min(max(t.pausedUntil.Sub(now), minRetryAfter), maxPausedRetryAfter)
+	d.RetryAfter = maxPausedRetryAfter
+	if rest := t.pausedUntil.Sub(now); rest < maxPausedRetryAfter {
+		spread := time.Duration(b.random.Int64N(int64(min(t.pause, maxPausedRetryAfter)) + 1))
+		d.RetryAfter = max(rest+spread, minRetryAfter)
+	}
 	return d
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -437,7 +437,7 @@
 func (b *Balancer) startProbes(now core.Instant) []Output {
 	var out []Output
 	for _, t := range b.targets {
-		if !t.unreachable && !t.checkDue || t.probeInFlight || t.replaced || now.Before(t.nextProbe) || b.view.Targets[t.ID] == nil {
+		if !b.probeDue(now, t) {
 			continue
 		}
 		t.probeInFlight, t.checkDue = true, false
@@ -446,6 +446,18 @@
 	return out
 }
 
+// probeDue reports whether to request a health check of a target. One that responds
+// but wants no requests is checked after its pause.
+func (b *Balancer) probeDue(now core.Instant, t *target) bool {
+	switch {
+	case t.probeInFlight || t.replaced || now.Before(t.nextProbe) || b.view.Targets[t.ID] == nil:
+		return false
+	case t.unreachable:
+		return true
+	}
+	return t.checkDue && !now.Before(t.pausedUntil)
+}
+
 func (b *Balancer) probeDone(now core.Instant, m ProbeDone) []Output {
 	t := b.targets[m.Target]
 	if t == nil {
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -142,6 +142,9 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this VM, or 0.
 	Pause time.Duration
+	// Malformed is set if a part of the announcement can't be read. That part counts
+	// as none.
+	Malformed bool
 }
 
 // AttemptDone is the result of an attempt that was sent.
@@ -237,6 +240,13 @@
 	StartedAt int64
 }
 
+// MalformedAnnouncement reports, once for each process, that a target's
+// announcement can't be read.
+type MalformedAnnouncement struct {
+	Target  core.Target
+	Service core.Service
+}
+
 // ColdStartReported reports that a target is in a cold start.
 type ColdStartReported struct {
 	Target    core.Target
@@ -255,10 +265,11 @@
 	Fields []any
 }
 
-func (DecisionReply) output()     {}
-func (Probe) output()             {}
-func (TargetUnreachable) output() {}
-func (TargetLeaving) output()     {}
-func (ColdStartReported) output() {}
-func (LoadReportReply) output()   {}
-func (Event) output()             {}
+func (DecisionReply) output()         {}
+func (Probe) output()                 {}
+func (TargetUnreachable) output()     {}
+func (TargetLeaving) output()         {}
+func (MalformedAnnouncement) output() {}
+func (ColdStartReported) output()     {}
+func (LoadReportReply) output()       {}
+func (Event) output()                 {}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -95,8 +95,12 @@
 	coldLimiter   coldLimiter
 	announced     announced
 	rateLimiter   rateLimiter
-	// pausedUntil is until when the target wants no requests from this VM.
+	// pausedUntil is until when the target wants no requests from this VM, and pause
+	// how long it asked for.
 	pausedUntil core.Instant
+	pause       time.Duration
+	// malformedReported is set once a malformed announcement has been reported.
+	malformedReported bool
 	// knownSince is when this VM learned of the process.
 	knownSince core.Instant
 }
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -195,6 +195,9 @@
 		n.quarantineRing.TryPut(quarantine.ProcessEnded{Process: quarantine.Process{Target: o.Target, StartedAt: o.StartedAt}})
 	case balance.TargetLeaving:
 		n.discoveryRing.TryPut(discovery.LeavingReported{Target: o.Target, StartedAt: o.StartedAt})
+	case balance.MalformedAnnouncement:
+		n.metrics.Count("announcements_malformed")
+		n.log.Info("announcement of a target can't be read", "target", o.Target, "service", o.Service)
 	case balance.ColdStartReported:
 		n.discoveryRing.TryPut(discovery.ColdStartReported{Target: o.Target, Remaining: o.Remaining})
 	case balance.Probe:
