soak: targets announce leaving, pauses and rate limits

The soak played none of what targets announce in their responses, so that neither promise was checked beside other faults.

Three kinds of events let a stand-in announce that it leaves (also on and off, while its registration calls it ready), turn requests away with a pause, and name a rate limit. The checker keeps what each VM process has passed on, and asserts the users' bounds: no request that is sent 2 s after a VM has passed on that a target leaves, in touch with the store or not; two requests at most in a pause from half a second on; one and a half times the limit and five requests in 4 s. Restarts and freezes of a VM excuse it, cuts excuse it only for the last two.

Result: TestCheckerReports breaks each new promise once; TestAnnouncementsBindWhoLearnedOfThem has the excuses.

--- a/soak/check_self_test.go
+++ b/soak/check_self_test.go
@@ -48,6 +48,20 @@
 	return wire.Run{Server: s.ID, ID: r.id, Method: r.method, URI: r.uri, Key: key, At: time.Now()}
 }
 
+// pass lets the VM pass on a response of a server to a request.
+func (tc *testChecker) pass(s *wire.Server, id string) {
+	r := tc.sentRequest(id, "GET", "/read/"+id, 0)
+	tc.RunStarted(s, run(r, s, -1))
+	tc.requestFinished(r, outcome{status: http.StatusOK, stamp: s.ID + "." + id, body: "answer of " + s.ID + " to " + id})
+}
+
+// toldAgo changes when VMs were told of an announcement.
+func (tc *testChecker) toldAgo(told map[toldProcess]time.Time, ago time.Duration) {
+	for p := range told {
+		told[p] = time.Now().Add(-ago)
+	}
+}
+
 func (tc *testChecker) grant(t *testing.T, s *wire.Server, token int64) {
 	is.New(t).NoErr(wire.Grant(s.Address(), 0, 15, token, 5*time.Second))
 	tc.Granted(s, 0, 15, token)
@@ -110,6 +124,33 @@
 			tc.draining["a"] = time.Now().Add(-drainBound - time.Second)
 			tc.RunStarted(tc.a, run(tc.sentRequest("1", "GET", "/read/1", 0), tc.a, -1))
 		}},
+		{AnnouncedLeaving, func(_ *testing.T, tc *testChecker) {
+			tc.beginAnnouncement(tc.announced.leaving, tc.a)
+			tc.pass(tc.a, "1")
+			tc.toldAgo(tc.announced.toldLeaving, leavingBound+time.Second)
+			tc.history.instant(storeComponent) // excuses nothing
+			tc.history.instant("vm0")
+			tc.RunStarted(tc.a, run(tc.sentRequest("2", "GET", "/read/2", 0), tc.a, -1))
+		}},
+		{AnnouncedPause, func(_ *testing.T, tc *testChecker) {
+			tc.TurnedAway(tc.a, tc.sentRequest("1", "GET", "/read/1", 0).id, announcedPause)
+			for _, p := range tc.announced.pauses {
+				p.from = p.from.Add(-time.Second)
+			}
+			for _, id := range []string{"2", "3", "4"} {
+				tc.RunStarted(tc.a, run(tc.sentRequest(id, "GET", "/read/"+id, 0), tc.a, -1))
+			}
+		}},
+		{AnnouncedLimit, func(_ *testing.T, tc *testChecker) {
+			tc.beginAnnouncement(tc.announced.limited, tc.a)
+			tc.pass(tc.a, "1")
+			tc.toldAgo(tc.announced.toldLimit, contactBound+time.Second)
+			tc.announced.limited[tc.a] = time.Now().Add(-contactBound - time.Second)
+			most := int(limitFactor*limitWindow.Seconds()*announcedLimit + limitExtra)
+			for range most + 1 {
+				tc.RunStarted(tc.a, run(tc.sentRequest("2", "GET", "/read/2", 0), tc.a, -1))
+			}
+		}},
 		{Evacuated, func(_ *testing.T, tc *testChecker) {
 			tc.setEvacuated("z0", true)
 			tc.evacuated["z0"] = time.Now().Add(-evacuateBound - time.Second)
@@ -156,6 +197,29 @@
 	}
 }
 
+// Guards against checks of announcements that bind a VM which was restarted or
+// frozen since it learned of them, or has not learned of them.
+func TestAnnouncementsBindWhoLearnedOfThem(t *testing.T) {
+	for name, change := range map[string]func(*testChecker, *request){
+		"restarted": func(_ *testChecker, r *request) { r.process++ },
+		"frozen":    func(tc *testChecker, _ *request) { tc.history.instant(frozen("vm0")) },
+		"untold":    func(tc *testChecker, _ *request) { clear(tc.announced.toldLeaving) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc := newTestChecker(t)
+			tc.beginAnnouncement(tc.announced.leaving, tc.a)
+			tc.pass(tc.a, "1")
+			tc.toldAgo(tc.announced.toldLeaving, leavingBound+time.Second)
+			r := tc.sentRequest("2", "GET", "/read/2", 0)
+			change(tc, r)
+			tc.RunStarted(tc.a, run(r, tc.a, -1))
+			_, violations := tc.summary()
+			is.Equal(len(violations), 0)
+		})
+	}
+}
+
 // Guards against time bounds that are checked where they do not apply: while the
 // VM, the target, the store or the host is disturbed, and shortly after.
 func TestTimeBoundsDuringDisturbances(t *testing.T) {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -27,6 +27,9 @@
 	ColdLimit        Invariant = "the limit of a cold target"
 	Draining         Invariant = "no new work for a leaving target"
 	Evacuated        Invariant = "no new work in an evacuated failure domain"
+	AnnouncedLeaving Invariant = "no new work for a target that has announced that it leaves"
+	AnnouncedPause   Invariant = "few requests in a pause that a target asks for"
+	AnnouncedLimit   Invariant = "the rate limit that a target names"
 	Recovery         Invariant = "service returns after the last fault"
 	ProcessExit      Invariant = "processes end only when told to"
 )
@@ -54,8 +57,14 @@
 	runs     int
 	rejected bool
 	served   bool
+	// server is the target process that ran the request last, and runAt when it
+	// began.
+	server *wire.Server
+	runAt  time.Time
 }
 
+func (r *request) vmProcess() vmProcess { return vmProcess{vm: r.vm.name, start: r.process} }
+
 // checker checks the invariants as events arrive. Its methods may be called from
 // any goroutine.
 type checker struct {
@@ -71,6 +80,7 @@
 	evacuated  map[string]time.Time
 	cold       map[*wire.Server][]time.Time
 	keys       ownership
+	announced  announcements
 	counts     map[string]int
 }
 
@@ -87,6 +97,7 @@
 		evacuated: make(map[string]time.Time),
 		cold:      make(map[*wire.Server][]time.Time),
 		keys:      newOwnership(),
+		announced: newAnnouncements(),
 		counts:    make(map[string]int),
 	}
 }
@@ -123,6 +134,8 @@
 		return
 	}
 	r.runs++
+	r.server, r.runAt = s, run.At
+	c.checkAnnounced(s, r, run.At)
 	if !r.idempotent && r.runs > 1 {
 		c.violate(AtMostOnce, "target %s runs %s, %d runs in total", run.Server, r.id, r.runs)
 	}
@@ -201,6 +214,9 @@
 			c.violate(CompleteResponse, "%s got status %d, stamp %q and body %q", r.id, o.status, o.stamp, o.body)
 		}
 		r.served = true
+		if s := r.server; s != nil && strings.HasPrefix(o.stamp, s.ID+".") {
+			c.passedOn(r, s, r.runAt, now)
+		}
 	case isRejection(o.status) && o.stamp == "":
 		r.rejected = true
 		if !r.idempotent && r.runs > 0 {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -30,6 +30,8 @@
 	server     *wire.Server
 	generation int
 	replacing  bool
+	// announcing is the server whose announcement an event controls, or nil.
+	announcing *wire.Server
 }
 
 // cluster is a deployment of VM processes and stand-ins.
--- a/soak/events_test.go
+++ b/soak/events_test.go
@@ -79,6 +79,7 @@
 	case PauseVM:
 		if g.signal(syscall.SIGSTOP) {
 			defer c.history.begin(comp)()
+			defer c.history.begin(frozen(g.name))()
 			time.Sleep(e.Duration)
 			g.signal(syscall.SIGCONT)
 		}
@@ -196,12 +197,16 @@
 
 func (c *cluster) applyTarget(e Event, b *backend) {
 	b.mu.Lock()
-	server, replacing := b.server, b.replacing
-	if replacing {
+	server := b.server
+	announces := e.Kind == LeavingTarget || e.Kind == PausingTarget || e.Kind == LimitedTarget
+	if b.replacing || announces && b.announcing == server {
 		b.mu.Unlock()
-		return // the target is being replaced
+		return // the target is being replaced, or makes another announcement
 	}
-	replaced := e.Kind == KillTarget || e.Kind == RestartTarget || e.Kind == DrainTarget
+	if announces {
+		b.announcing = server
+	}
+	replaced := e.Kind == KillTarget || e.Kind == RestartTarget || e.Kind == DrainTarget || e.Kind == LeavingTarget
 	b.replacing = replaced
 	b.generation++
 	next := fmt.Sprintf("t%d.%d", e.Index, b.generation)
@@ -220,10 +225,14 @@
 		}
 		end()
 		c.replace(b, next)
-	case DrainTarget:
-		server.Register("draining")
-		c.check.setDraining(server.ID)
-		time.Sleep(drainBound + e.Duration)
+	case DrainTarget, LeavingTarget:
+		if e.Kind == LeavingTarget {
+			c.announceLeaving(e, server)
+		} else {
+			server.Register("draining")
+			c.check.setDraining(server.ID)
+			time.Sleep(drainBound + e.Duration)
+		}
 		b.link.StopListening()
 		server.Stop()
 		server.Remove()
@@ -243,6 +252,13 @@
 		b.link.Reset()
 	case FaultyTarget:
 		c.injectFaults(server, e, target.Faults{ServiceTime: serviceTime, Drop: 0.1, Cut: 0.1, DropOrders: 0.3})
+	case PausingTarget:
+		server.Announce(wire.Announcement{Pause: announcedPause})
+		time.Sleep(e.Duration)
+		c.endAnnouncement(b, server)
+	case LimitedTarget:
+		c.announceLimit(e, server)
+		c.endAnnouncement(b, server)
 	case SlowTarget:
 		c.injectFaults(server, e, target.Faults{ServiceTime: slowTime})
 	}
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -46,6 +46,9 @@
 	storeComponent component = "store"
 )
 
+// frozen is the component of the freezes of a VM, which is part of the VM.
+func frozen(vm string) component { return component("freeze of " + vm) }
+
 // disturbance is in progress while to is zero.
 type disturbance struct {
 	component component
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -31,6 +31,10 @@
 	FaultyTarget  Kind = "spoil-target" // responses are dropped and truncated, order replies dropped
 	SlowTarget    Kind = "slow-target"
 
+	LeavingTarget Kind = "announce-leaving" // in its responses only, replaced by a target with another id
+	PausingTarget Kind = "announce-pause"   // turns requests away and asks for a pause
+	LimitedTarget Kind = "announce-limit"   // names a rate limit
+
 	StoreDown           Kind = "store-down"
 	StoreSlow           Kind = "store-slow"
 	StoreLosesResponses Kind = "store-loses" // responses to appends are lost
@@ -65,6 +69,9 @@
 	{ResetTarget, 3},
 	{FaultyTarget, 4},
 	{SlowTarget, 2},
+	{LeavingTarget, 3},
+	{PausingTarget, 3},
+	{LimitedTarget, 2},
 	{StoreDown, 4},
 	{StoreSlow, 2},
 	{StoreLosesResponses, 3},
@@ -145,7 +152,8 @@
 	switch k {
 	case StopVM, KillVM, PauseVM, ReloadVM, CutStore, RejectStore, ResetStore, ResetCaller:
 		return s.VMs
-	case KillTarget, RestartTarget, DrainTarget, CutTarget, DelayTarget, ResetTarget, FaultyTarget, SlowTarget:
+	case KillTarget, RestartTarget, DrainTarget, CutTarget, DelayTarget, ResetTarget, FaultyTarget, SlowTarget,
+		LeavingTarget, PausingTarget, LimitedTarget:
 		return s.Targets
 	case Evacuate:
 		return s.Domains
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -46,6 +46,9 @@
 type Observer interface {
 	// RunStarted is called before a server executes a request.
 	RunStarted(*Server, Run)
+	// TurnedAway is called before a server turns a request away because it wants
+	// none for a time.
+	TurnedAway(s *Server, id string, pause time.Duration)
 	// Granted is called after a server accepted a grant of keys.
 	Granted(s *Server, from, to int, token int64)
 }
@@ -161,9 +164,9 @@
 	s.announces = a
 }
 
-// setAnnouncement adds the headers of the announcement, and reports whether the
-// request is turned away.
-func (s *Server) setAnnouncement(h http.Header) bool {
+// setAnnouncement adds the headers of the announcement. The request is turned away
+// if the pause that it returns is positive.
+func (s *Server) setAnnouncement(h http.Header) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.announces
@@ -178,7 +181,7 @@
 		h.Set(headerNotRun, "1")
 		s.turnedAway = append(s.turnedAway, time.Now())
 	}
-	return a.Pause > 0
+	return a.Pause
 }
 
 // TurnedAway returns when the server turned requests away because it wants none.
@@ -334,7 +337,10 @@
 	id := r.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
 	body, _ := io.ReadAll(r.Body) // a truncated body is recorded as received
-	if s.setAnnouncement(w.Header()) {
+	if pause := s.setAnnouncement(w.Header()); pause > 0 {
+		if s.Observer != nil {
+			s.Observer.TurnedAway(s, id, pause)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
