soak: requests that end the targets which run them

A new event lets callers send one request (a read or a booking) through all VMs again and again; the stand-in ends each target that begins to run it, and the soak starts the target again under its id. The checker counts targets that end more than contact after the third, through VMs in touch: three at most. TestCheckerReports breaks the bound once.

--- a/soak/check_self_test.go
+++ b/soak/check_self_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -151,6 +152,16 @@
 				tc.RunStarted(tc.a, run(tc.sentRequest("2", "GET", "/read/2", 0), tc.a, -1))
 			}
 		}},
+		{CrashRetries, func(_ *testing.T, tc *testChecker) {
+			const uri = "/read/" + crashPrefix + "1"
+			tc.expectCrashes(uri)
+			for i := range crashesKnown + crashRetries + 1 {
+				tc.RunStarted(tc.a, run(tc.sentRequest(strconv.Itoa(i), "GET", uri, 0), tc.a, -1))
+				if x := tc.crashes[uri]; i == crashesKnown-1 {
+					x.knownAt = x.knownAt.Add(-contactBound - time.Second)
+				}
+			}
+		}},
 		{Evacuated, func(_ *testing.T, tc *testChecker) {
 			tc.setEvacuated("z0", true)
 			tc.evacuated["z0"] = time.Now().Add(-evacuateBound - time.Second)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -30,6 +30,7 @@
 	AnnouncedLeaving Invariant = "no new work for a target that has announced that it leaves"
 	AnnouncedPause   Invariant = "few requests in a pause that a target asks for"
 	AnnouncedLimit   Invariant = "the rate limit that a target names"
+	CrashRetries     Invariant = "few retries of a request that ends targets"
 	Recovery         Invariant = "service returns after the last fault"
 	ProcessExit      Invariant = "processes end only when told to"
 )
@@ -81,6 +82,7 @@
 	cold       map[*wire.Server][]time.Time
 	keys       ownership
 	announced  announcements
+	crashes    map[string]*crashes
 	counts     map[string]int
 }
 
@@ -98,6 +100,7 @@
 		cold:      make(map[*wire.Server][]time.Time),
 		keys:      newOwnership(),
 		announced: newAnnouncements(),
+		crashes:   make(map[string]*crashes),
 		counts:    make(map[string]int),
 	}
 }
@@ -136,6 +139,7 @@
 	r.runs++
 	r.server, r.runAt = s, run.At
 	c.checkAnnounced(s, r, run.At)
+	c.checkCrash(s, r, run.At)
 	if !r.idempotent && r.runs > 1 {
 		c.violate(AtMostOnce, "target %s runs %s, %d runs in total", run.Server, r.id, r.runs)
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -146,6 +146,7 @@
 	defer b.mu.Unlock()
 	o := wire.ServerOptions{
 		ID: id, Service: b.service, Zone: b.domain, Slots: slots, Sharded: b.service == "seats", Cold: cold, Observer: c.check,
+		Crashes: isCrashing,
 	}
 	// The target listens on a port that the kernel picks, and the link gets its
 	// address afterwards. A port that is chosen and released first may be taken
--- a/soak/events_test.go
+++ b/soak/events_test.go
@@ -59,6 +59,8 @@
 		c.configure(1 + int(e.Duration/time.Second))
 	case Evacuate:
 		c.evacuate(e)
+	case CrashRequest:
+		c.crashRequest(e)
 	default:
 		c.applyTarget(e, c.backends[e.Index])
 	}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -35,6 +35,10 @@
 	PausingTarget Kind = "announce-pause"   // turns requests away and asks for a pause
 	LimitedTarget Kind = "announce-limit"   // names a rate limit
 
+	// CrashRequest lets callers send a request that ends each target which begins to
+	// run it.
+	CrashRequest Kind = "crash-request"
+
 	StoreDown           Kind = "store-down"
 	StoreSlow           Kind = "store-slow"
 	StoreLosesResponses Kind = "store-loses" // responses to appends are lost
@@ -72,6 +76,7 @@
 	{LeavingTarget, 3},
 	{PausingTarget, 3},
 	{LimitedTarget, 2},
+	{CrashRequest, 2},
 	{StoreDown, 4},
 	{StoreSlow, 2},
 	{StoreLosesResponses, 3},
