ingress: responses in progress at a planned stop close their connection

A planned stop sets "Connection: close" on responses, so that no caller sends another request while the VM closes the connection. A request that was in progress when the stop began, such as one whose body was half read, got its response without it: the check was made before the body was read and the request was sent. A request with a long service time could so end shortly before the VM closes idle connections, and the caller's next one met the close.

The check is now made when a response is written.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -64,9 +64,6 @@
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock()}
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	ctx, span := s.Tracer.Start(httpRequest.Context(), "request")
 	defer span.End()
 	if rejection := r.prepare(); rejection != nil {
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -23,12 +23,22 @@
 		h[name] = values
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.response.Body)))
-	r.w.WriteHeader(a.response.Status)
+	r.writeHead(a.response.Status)
 	_, err := r.w.Write(a.response.Body)
 	r.Metrics.Latency(r.Clock().Sub(r.startedAt), "requests", r.rule.Name)
 	r.logRequest(a.response.Status, a.result.String(), err)
 }
 
+// writeHead writes the status and the headers of a response. The last one on a
+// connection says so, also if the stop began while the request was in progress: the
+// caller's next request could meet the close.
+func (r *request) writeHead(status int) {
+	if r.stopping.Load() {
+		r.w.Header().Set("Connection", "close")
+	}
+	r.w.WriteHeader(status)
+}
+
 // finishWithoutTarget responds to a request for which the balancer selected no
 // (further) target.
 func (r *request) finishWithoutTarget(last *attempt, d balance.Decision, err error) {
@@ -101,7 +111,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	body := rej.reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	r.w.WriteHeader(rej.status)
+	r.writeHead(rej.status)
 	_, err := r.w.Write([]byte(body))
 	r.Metrics.Count("refusals", strconv.Itoa(rej.status))
 	r.logRequest(rej.status, rej.reason, err)
