--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -41,7 +41,7 @@
 var (
 	// ErrExpired is returned by a read from before the oldest retained record.
 	ErrExpired = errors.New("replica: records expired")
-	// ErrEraChanged is returned by a read from an offset of an earlier era.
+	// ErrEraChanged is returned by a call that depends on an offset of an earlier era.
 	ErrEraChanged = errors.New("replica: the store has been restored from an older copy")
 	// ErrConflict is returned by an append whose offset is not the end of the
 	// stream.
