standin/wire: a stopped server runs nothing

The stand-in closes its connections when it stops, its handler took the end of the half-read body for the whole, and counted a run of a process that had exited.

A request whose body was being read when the server stopped is dropped. A truncated body at a server that still runs is recorded and reported as before.

--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -337,6 +337,10 @@
 	id := r.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
 	body, _ := io.ReadAll(r.Body) // a truncated body is recorded as received
+	if s.Stopped() {
+		// The process has exited: its own end may have truncated the body.
+		panic(http.ErrAbortHandler)
+	}
 	if pause := s.setAnnouncement(w.Header()); pause > 0 {
 		if s.Observer != nil {
 			s.Observer.TurnedAway(s, id, pause)
