discovery: late news of a drain shorten the grace period

Cause, as far as it is known: an owner that leaves gets requests for 1.2 s from when a VM learns of it, which assumes that the news is 0.8 s old at most. Two of the nine VMs were cut off from the store 1.1 s before the registration; VMs that follow one of them notice after 1.5 s, and learn late, by the store or by the target's next response.

A target now keeps the latest time at which the VM's copy of the registrations showed it usable. The grace period ends 1.9 s after that time, if that is earlier.

TestLateNewsShortenTheGracePeriod (news by a registration, an announcement, a registration that returns; 0 to 3 s late) fails from 0.8 s on without the new bound, and passes.

--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -112,7 +112,7 @@
 func (t *target) update(d *discovery.Target) {
 	t.Target = d
 	if t.leavingSince != 0 && !d.Draining {
-		t.Target = d.Leaving(t.leavingSince)
+		t.Target = d.Leaving(t.leavingSince, 0)
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -189,3 +190,42 @@
 	r.Tick(start.Add(2 * leavingMemory))
 	is.Equal(len(r.leaving), 0)
 }
+
+// Guards against an owner that gets requests for its keys beyond the users' bound
+// because the news that it leaves came late, as through a VM that had just lost the
+// store: the bound counts from the record, the grace period from the news.
+func TestLateNewsShortenTheGracePeriod(t *testing.T) {
+	const bound = 2 * time.Second
+	draining := registration("a", 1)
+	draining.Draining, draining.Sequence = true, 2
+	for name, learn := range map[string]func(r *Registry, now core.Instant){
+		"registration": func(r *Registry, now core.Instant) { r.Register(now, draining) },
+		"announcement": func(r *Registry, now core.Instant) { r.MarkLeaving(now, "a", 1) },
+		"registration that returns": func(r *Registry, now core.Instant) {
+			r.MarkLeaving(now, "a", 1)
+			r.Remove(now, "a")
+			r.Register(now, registration("a", 1))
+		},
+	} {
+		for _, delay := range []time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprint(name, " after ", delay), func(t *testing.T) {
+				is := is.New(t)
+				r := NewRegistry()
+				r.Register(start, registration("a", 1))
+				r.MarkRegistrationsRead(start) // the record may be written right after
+				learn(r, start.Add(delay))
+				a := r.View().Targets["a"]
+				is.True(!a.Usable())
+				is.True(!a.ServesOwnedKeys(start.Add(max(bound, delay))))
+				if delay <= 200*time.Millisecond { // its keys have time to move
+					is.True(a.ServesOwnedKeys(start.Add(delay + drainGracePeriod)))
+				}
+				later := draining
+				later.Sequence++
+				r.MarkRegistrationsRead(start.Add(delay))
+				r.Register(start.Add(delay+time.Second), later) // renews nothing
+				is.True(!r.View().Targets["a"].ServesOwnedKeys(start.Add(max(bound, delay+time.Second))))
+			})
+		}
+	}
+}
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -52,24 +52,31 @@
 	// LeavingSince is when the target was first seen draining or evacuated; the
 	// zero value means neither.
 	LeavingSince core.Instant
+	// UsableAt is the latest time at which the target that is leaving may still have
+	// been usable for all that was known; the zero value means unknown. The later the
+	// news, the earlier it is.
+	UsableAt core.Instant
 }
 
-func (t *Target) updateLeavingSince(now core.Instant, since core.Instant) {
-	t.LeavingSince = 0
-	if !t.Usable() {
-		t.LeavingSince = now
-		if since != 0 {
-			t.LeavingSince = since
-		}
+// updateLeaving sets LeavingSince and UsableAt. They are those of the target's former
+// state if that was leaving already.
+func (t *Target) updateLeaving(now, usableAt core.Instant, former *Target) {
+	switch {
+	case t.Usable():
+		t.LeavingSince, t.UsableAt = 0, 0
+	case former != nil && former.LeavingSince != 0:
+		t.LeavingSince, t.UsableAt = former.LeavingSince, former.UsableAt
+	default:
+		t.LeavingSince, t.UsableAt = now, usableAt
 	}
 }
 
 // Leaving returns a copy of the target that has announced that it is about to
-// exit.
-func (t *Target) Leaving(since core.Instant) *Target {
+// exit. usableAt may be zero.
+func (t *Target) Leaving(since, usableAt core.Instant) *Target {
 	c := *t
 	c.AnnouncedLeaving, c.Draining = true, true
-	c.updateLeavingSince(since, t.LeavingSince)
+	c.updateLeaving(since, usableAt, t)
 	return &c
 }
 
@@ -81,6 +88,9 @@
 	// was seen draining, while its keys move. The platform's bounds of 2 s and
 	// more count from the record in the store, which arrives up to 0.8 s later.
 	drainGracePeriod = 1200 * time.Millisecond
+	// maxDrainTime ends the grace period earlier if the news may be older than that:
+	// it counts from the latest time at which the record can't have been written.
+	maxDrainTime = 1900 * time.Millisecond
 	// evacuationGracePeriod is the same for an evacuated failure domain, for which
 	// the bound is 5 s.
 	evacuationGracePeriod = 2200 * time.Millisecond
@@ -93,7 +103,7 @@
 	case t.Usable():
 		return true
 	case t.Draining:
-		return now.Sub(t.LeavingSince) <= drainGracePeriod
+		return now.Sub(t.LeavingSince) <= drainGracePeriod && (t.UsableAt == 0 || now.Sub(t.UsableAt) <= maxDrainTime)
 	}
 	return now.Sub(t.LeavingSince) <= evacuationGracePeriod
 }
@@ -121,14 +131,17 @@
 	outageEnd core.Instant
 	lastRead  core.Instant
 	hasRead   bool
-	changed   bool
+	// registrationsAsOf is a time at which all registrations had been applied, or
+	// zero. Those that are applied later were written after it.
+	registrationsAsOf core.Instant
+	changed           bool
 }
 
 // leavingProcess is a process that has announced that it is about to exit.
 type leavingProcess struct {
 	// startedAt is the start of the process, in Unix milliseconds.
-	startedAt   int64
-	announcedAt core.Instant
+	startedAt             int64
+	announcedAt, usableAt core.Instant
 }
 
 // leavingMemory is how long a process that is about to exit is remembered at least.
@@ -158,6 +171,12 @@
 	}
 }
 
+// MarkRegistrationsRead records that all registrations up to the given time have been
+// applied.
+func (r *Registry) MarkRegistrationsRead(asOf core.Instant) {
+	r.registrationsAsOf = max(r.registrationsAsOf, asOf)
+}
+
 // Register adds or updates a target. It ignores a registration that is older
 // than the known one and reports false for it.
 func (r *Registry) Register(now core.Instant, reg Registration) bool {
@@ -178,15 +197,17 @@
 		t.ColdUntil = now.Add(reg.ColdRemaining)
 		t.RegisteredColdUntil = t.ColdUntil
 	}
-	var since core.Instant
-	if old, ok := r.targets[reg.ID]; ok && old.StartedAt == reg.StartedAt {
-		t.ColdUntil = max(t.ColdUntil, old.ColdUntil)
-		t.RegisteredColdUntil = max(t.RegisteredColdUntil, old.RegisteredColdUntil)
-		since = old.LeavingSince
+	former := r.targets[reg.ID]
+	if former != nil && former.StartedAt != reg.StartedAt {
+		former = nil
+	}
+	if former != nil {
+		t.ColdUntil = max(t.ColdUntil, former.ColdUntil)
+		t.RegisteredColdUntil = max(t.RegisteredColdUntil, former.RegisteredColdUntil)
 	}
-	t.updateLeavingSince(now, since)
+	t.updateLeaving(now, r.registrationsAsOf, former)
 	if isLeaving {
-		t = t.Leaving(leaving.announcedAt)
+		t = t.Leaving(leaving.announcedAt, leaving.usableAt)
 	}
 	r.targets[reg.ID] = t
 	r.changed = true
@@ -225,7 +246,7 @@
 		}
 		c := *t
 		c.Evacuated = evacuated
-		c.updateLeavingSince(now, t.LeavingSince)
+		c.updateLeaving(now, r.registrationsAsOf, t)
 		if until := now.Add(r.coldStart[t.Service]); !evacuated && until.After(c.ColdUntil) {
 			c.ColdUntil = until
 		}
@@ -253,9 +274,9 @@
 	if registered && t.StartedAt != startedAt || known && p.startedAt >= startedAt {
 		return false
 	}
-	r.leaving[id] = leavingProcess{startedAt: startedAt, announcedAt: now}
+	r.leaving[id] = leavingProcess{startedAt: startedAt, announcedAt: now, usableAt: r.registrationsAsOf}
 	if registered {
-		r.targets[id] = t.Leaving(now)
+		r.targets[id] = t.Leaving(now, r.registrationsAsOf)
 		r.changed = true
 	}
 	return true
--- a/internal/discovery/step.go
+++ b/internal/discovery/step.go
@@ -25,6 +25,9 @@
 // DirectoryRead reports that the registrations were up to date at a time.
 type DirectoryRead struct{ AsOf core.Instant }
 
+// RegistrationsRead reports that all registrations up to a time have been sent.
+type RegistrationsRead struct{ AsOf core.Instant }
+
 // ColdStartsChanged carries the cold-start durations of the services.
 type ColdStartsChanged struct {
 	Durations map[core.Service]time.Duration
@@ -50,6 +53,7 @@
 func (Removed) message()           {}
 func (EvacuationChanged) message() {}
 func (DirectoryRead) message()     {}
+func (RegistrationsRead) message() {}
 func (ColdStartsChanged) message() {}
 func (ColdStartReported) message() {}
 func (LeavingReported) message()   {}
@@ -90,6 +94,8 @@
 		out = append(out, Event{Text: "failure domain evacuation", Fields: []any{"failure_domain", m.FailureDomain, "out", m.Evacuated}})
 	case DirectoryRead:
 		d.registry.MarkCurrent(m.AsOf)
+	case RegistrationsRead:
+		d.registry.MarkRegistrationsRead(m.AsOf)
 	case ColdStartsChanged:
 		for s, t := range m.Durations {
 			d.registry.SetColdStart(s, t)
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -65,6 +65,7 @@
 		for _, r := range c.Records {
 			n.applyTargetRecord(ctx, r)
 		}
+		_ = n.discoveryRing.Put(ctx, discovery.RegistrationsRead{AsOf: c.AsOf})
 	case replica.Owners:
 		n.applyOwnerRecords(ctx, c)
 	case replica.Members:
