soak: a VM has learned of leaving only from a response that says so

The checker of targets that announce leaving on and off took any response since the first announcement for one that carries it. A VM whose only response came while the target made none could be reported for a request that it was free to send.

The checker now knows when a target announces. TestAnnouncementsBindWhoLearnedOfThem has the case.

--- a/soak/announce_test.go
+++ b/soak/announce_test.go
@@ -38,7 +38,7 @@
 
 // announcements is what targets have announced, and which VMs have learned of it.
 type announcements struct {
-	// leaving and limited hold when a target process began to announce.
+	// leaving and limited hold when a target process began to announce, while it does.
 	leaving, limited map[*wire.Server]time.Time
 	// toldLeaving and toldLimit hold when a VM process first passed on an
 	// announcement to a caller.
@@ -72,15 +72,15 @@
 // announceLeaving lets a target announce that it leaves, while its registration
 // still calls it ready.
 func (c *cluster) announceLeaving(e Event, s *wire.Server) {
-	s.Announce(wire.Announcement{Leaving: true})
-	c.check.beginAnnouncement(c.check.announced.leaving, s)
 	alternates := e.Cut == CutBoth
 	for end := time.Now().Add(leavingBound + e.Duration); time.Now().Before(end); {
+		s.Announce(wire.Announcement{Leaving: true})
+		c.check.beginAnnouncement(c.check.announced.leaving, s)
 		time.Sleep(alternateInterval)
 		if alternates {
+			c.check.endAnnouncement(c.check.announced.leaving, s)
 			s.Announce(wire.Announcement{})
 			time.Sleep(alternateInterval)
-			s.Announce(wire.Announcement{Leaving: true})
 		}
 	}
 }
@@ -105,6 +105,12 @@
 	kind[s] = time.Now()
 }
 
+func (c *checker) endAnnouncement(kind map[*wire.Server]time.Time, s *wire.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(kind, s)
+}
+
 func (c *checker) endLimit(s *wire.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/check_self_test.go
+++ b/soak/check_self_test.go
@@ -215,6 +215,12 @@
 		"restarted": func(_ *testChecker, r *request) { r.process++ },
 		"frozen":    func(tc *testChecker, _ *request) { tc.history.instant(frozen("vm0")) },
 		"untold":    func(tc *testChecker, _ *request) { clear(tc.announced.toldLeaving) },
+		"told of no announcement": func(tc *testChecker, _ *request) {
+			clear(tc.announced.toldLeaving)
+			tc.endAnnouncement(tc.announced.leaving, tc.a)
+			tc.pass(tc.a, "3")
+			tc.toldAgo(tc.announced.toldLeaving, leavingBound+time.Second)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
