--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -446,8 +446,8 @@
 	return out
 }
 
-// probeDue reports whether to request a health check of a target. One that responds
-// but wants no requests is checked after its pause.
+// probeDue reports whether to request a health check of a target. A reachable target
+// that wants no requests is checked after its pause.
 func (b *Balancer) probeDue(now core.Instant, t *target) bool {
 	switch {
 	case t.probeInFlight || t.replaced || now.Before(t.nextProbe) || b.view.Targets[t.ID] == nil:
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -32,8 +32,8 @@
 	// 1/n.
 	failureRateSamples = 10
 	// The estimates of a target that has had no result for estimateAge fade with
-	// estimateHalfLife. A target that looks bad gets few requests or none, and only
-	// results update the estimates.
+	// estimateHalfLife: only results update the estimates, and a target with bad ones
+	// gets few requests or none.
 	estimateAge      = 5 * time.Second
 	estimateHalfLife = time.Second
 	// A target is ejected for ejectTime after ejectAfter consecutive failures.
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -52,9 +52,8 @@
 	// LeavingSince is when the target was first seen draining or evacuated; the
 	// zero value means neither.
 	LeavingSince core.Instant
-	// UsableAt is the latest time at which the target that is leaving may still have
-	// been usable for all that was known; the zero value means unknown. The later the
-	// news, the earlier it is.
+	// UsableAt is a time at which a target that leaves was still usable, or zero if
+	// none is known. It may have begun to leave right after that.
 	UsableAt core.Instant
 }
 
@@ -71,8 +70,8 @@
 	}
 }
 
-// Leaving returns a copy of the target that has announced that it is about to
-// exit. usableAt may be zero.
+// Leaving returns a copy of the target that has announced since the given time that
+// it is about to exit. usableAt is as in UsableAt.
 func (t *Target) Leaving(since, usableAt core.Instant) *Target {
 	c := *t
 	c.AnnouncedLeaving, c.Draining = true, true
@@ -88,8 +87,8 @@
 	// was seen draining, while its keys move. The platform's bounds of 2 s and
 	// more count from the record in the store, which arrives up to 0.8 s later.
 	drainGracePeriod = 1200 * time.Millisecond
-	// maxDrainTime ends the grace period earlier if the news may be older than that:
-	// it counts from the latest time at which the record can't have been written.
+	// maxDrainTime is the longest time from UsableAt in which the owner gets requests.
+	// It ends the grace period earlier if the record arrived late.
 	maxDrainTime = 1900 * time.Millisecond
 	// evacuationGracePeriod is the same for an evacuated failure domain, for which
 	// the bound is 5 s.
