--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and callers that the scripts of the cases start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o review/bin/ ./review/scene
