--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -32,6 +32,7 @@
 	"extra-late":   releaseCase("extra-late", 0.03),
 	"endless-body": releaseCase("endless-body", 0.02),
 	"endless-head": releaseCase("endless-head", 0.05),
+	"reborn":       rebornServer,
 	"large-bodies": largeBodies,
 }
 
--- a/review/scene/server.go
+++ b/review/scene/server.go
@@ -44,8 +44,9 @@
 	coldTime          time.Duration
 	world             *world
 	listener          net.Listener
-	address           string
-	startedAt         time.Time
+	// address is where the server listens, and advertised what it registers.
+	address, advertised string
+	startedAt           time.Time
 	// trouble decides on wrong responses; nil means none.
 	trouble *trouble
 
@@ -70,7 +71,7 @@
 	}
 	s := &server{
 		id: id, service: service, zone: zone, slots: slots, sharded: sharded, coldTime: cold, world: w, listener: l,
-		address: l.Addr().String(), startedAt: time.Now(), trouble: t, state: "ready",
+		address: l.Addr().String(), advertised: l.Addr().String(), startedAt: time.Now(), trouble: t, state: "ready",
 		running: make(map[*work]bool), free: make(chan struct{}, slots), conns: make(map[net.Conn]bool),
 	}
 	w.add(s)
@@ -94,10 +95,13 @@
 }
 
 func (s *server) register() {
+	if s.world.storeAway.Load() {
+		return
+	}
 	s.mu.Lock()
 	s.sequence++
 	entry, err := json.Marshal(map[string]any{
-		"address": s.address, "born": s.startedAt.UnixMilli(),
+		"address": s.advertised, "born": s.startedAt.UnixMilli(),
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
 		"status": map[string]any{"state": s.state, "sequence": s.sequence, "coldLeft": milliseconds(s.cold())},
 	})
--- a/review/scene/world.go
+++ b/review/scene/world.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"celeryhook.example/celeryhook/standin/wire"
@@ -14,6 +15,8 @@
 // It records what is sent, answered and run.
 type world struct {
 	store *wire.Store
+	// storeAway is set while the store takes no registrations.
+	storeAway atomic.Bool
 
 	mu      sync.Mutex
 	start   time.Time
@@ -32,6 +35,8 @@
 	lostBy   map[*gateway]int
 	// reported holds the work that a violation was recorded for.
 	reported map[*work]bool
+	// staleToken holds the servers that took a key with a token that isn't high enough.
+	staleToken map[*server]bool
 }
 
 type lastHolder struct {
@@ -44,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
-	return &world{store: wire.NewStore(), start: time.Now(), out: out, counts: make(map[string]int), began: make(map[began]time.Time), passedOn: make(map[string]*server), lostBy: make(map[*gateway]int), reported: make(map[*work]bool)}, nil
+	return &world{store: wire.NewStore(), start: time.Now(), out: out, counts: make(map[string]int), began: make(map[began]time.Time), passedOn: make(map[string]*server), lostBy: make(map[*gateway]int), reported: make(map[*work]bool), staleToken: make(map[*server]bool)}, nil
 }
 
 func (w *world) add(s *server) {
@@ -122,7 +127,8 @@
 			w.last[k] = lastHolder{fence: o.Fence, by: s}
 		}
 	}
-	if stale > 0 {
+	if stale > 0 && !w.staleToken[s] {
+		w.staleToken[s] = true
 		w.violation("OWNER: %s (born %d) takes %d keys of %d to %d with token %d, with which %s (born %d) had them (token %d)",
 			s.id, s.startedAt.UnixMilli(), stale, o.From, o.To, o.Fence, by.by.id, by.by.startedAt.UnixMilli(), by.fence)
 	}
