--- a/review/scene/trouble.go
+++ b/review/scene/trouble.go
@@ -13,12 +13,14 @@
 	// share bounds the wrong responses as a part of all responses.
 	share float64
 
+	// alone is held while a response without end is written.
 	alone sync.Mutex
-	mu    sync.Mutex
-	on    bool
-	begun int
-	since time.Time
-	wrong int
+
+	mu sync.Mutex
+	on bool
+	// begun is how many responses the server had given when the trouble began, and
+	// wrong how many wrong ones since.
+	begun, wrong int
 	// linkFreeAt is when the link of the server has sent all bytes so far.
 	linkFreeAt time.Time
 }
@@ -30,7 +32,7 @@
 	s.mu.Unlock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.on, t.begun, t.since = true, answers, time.Now()
+	t.on, t.begun = true, answers
 }
 
 func (t *trouble) disable() {
