--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins and callers that the scripts of the cases start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o review/bin/ ./review/scene
+go build -trimpath -o review/bin/ ./review/scene
--- a/review/scene/config.go
+++ b/review/scene/config.go
@@ -35,9 +35,9 @@
 			continue
 		}
 		known[x.service] = true
-		row := []any{x.service, "/health", 110, "h1", false, "3s", 21.0, nil, nil, nil}
+		row := []any{x.service, "/health", maxConns, "h1", false, "3s", 21.0, nil, nil, nil}
 		if sharded {
-			row = []any{x.service, "/health", 110, "h1", false, "3s", 21.0, true, "5s", "call"}
+			row = []any{x.service, "/health", maxConns, "h1", false, "3s", 21.0, true, "5s", "call"}
 		}
 		services.Rows = append(services.Rows, row)
 	}
--- a/review/scene/gateway.go
+++ b/review/scene/gateway.go
@@ -16,8 +16,14 @@
 	"time"
 )
 
-// memoryMb is the memory that the settings give a process.
-const memoryMb = 284
+// size is what the settings give a machine.
+type size struct{ memoryMb, linkMbps int }
+
+// The machines of macky-brana, and the smallest ones of ssg-hook.
+var (
+	usualSize = size{memoryMb: 284, linkMbps: 1000}
+	smallSize = size{memoryMb: 219, linkMbps: 750}
+)
 
 // gateway is a machine of the system, which runs the program of the deploy file.
 type gateway struct {
@@ -26,6 +32,7 @@
 	front, ready, control string
 	metrics               string
 	settings              string
+	size                  size
 	cmd                   *exec.Cmd
 	exited                chan struct{}
 	starts                int
@@ -72,7 +79,7 @@
 		"ip": g.ip, "zone": g.zone, "region": "region", "zones": regions,
 		"listen":        map[string]string{"front": g.front, "readyAddr": g.ready, "control": g.control},
 		"internalPorts": []int{7540, 7555}, "seeds": seeds, "bootstrap": bootstrap, "lossCounts": false,
-		"limits":  map[string]any{"cpuShare": 0.32, "cores": 1, "memoryMb": memoryMb, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
+		"limits":  map[string]any{"cpuShare": 0.32, "cores": 1, "memoryMb": g.size.memoryMb, "maxFds": 3075, "linkMbps": g.size.linkMbps, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeat": "870ms",
 		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "own", "places", "platform"},
 		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
@@ -132,10 +139,10 @@
 		}
 		kb := ownMemoryKb(pid)
 		g.peakKb.Store(max(kb, g.peakKb.Load()))
-		if kb <= memoryMb<<10 {
+		if kb <= int64(g.size.memoryMb)<<10 {
 			continue
 		}
-		g.world.record("machine %s uses %d MB of its own memory, over the limit of %d MB, and is killed", g.name, kb>>10, memoryMb)
+		g.world.record("machine %s uses %d MB of its own memory, over the limit of %d MB, and is killed", g.name, kb>>10, g.size.memoryMb)
 		g.ends.Add(1)
 		_ = syscall.Kill(pid, syscall.SIGKILL)
 		<-exited
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -23,16 +23,16 @@
 	*world
 	program, dir string
 	trouble      bool
+	size         size
 	gateways     []*gateway
 	running      sync.WaitGroup
 }
 
 // cases are the cases by name. A case returns an error if it couldn't run.
 var cases = map[string]func(ctx context.Context, s *scene) error{
-	"extra-late":   releaseCase("extra-late", 0.03),
+	"extra-late":   joinCase,
 	"endless-body": releaseCase("endless-body", 0.02),
 	"endless-head": releaseCase("endless-head", 0.05),
-	"reborn":       rebornServer,
 	"large-bodies": largeBodies,
 }
 
@@ -67,7 +67,7 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	s := &scene{world: w, program: *program, dir: dir, trouble: *trouble}
+	s := &scene{world: w, program: *program, dir: dir, trouble: *trouble, size: usualSize}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, maxLength)
@@ -139,6 +139,7 @@
 		if err != nil {
 			return err
 		}
+		g.size = s.size
 		s.gateways = append(s.gateways, g)
 		seeds = append(seeds, g.control)
 	}
--- a/review/scene/releases.go
+++ b/review/scene/releases.go
@@ -15,7 +15,7 @@
 			return err
 		}
 		var servers []*server
-		for i := range 8 {
+		for i := range 9 {
 			t := &trouble{kind: kind, share: share}
 			srv, err := startServer(s.world, fmt.Sprintf("desk-%d", i), "desk", zones[i%len(zones)], "127.0.0.1:0", 24, true, 0, t)
 			if err != nil {
@@ -38,7 +38,7 @@
 			}
 			sleep(ctx, 2700*time.Millisecond)
 			srv.drain()
-			sleep(ctx, 2300*time.Millisecond)
+			sleep(ctx, 2200*time.Millisecond)
 			srv.trouble.disable()
 			s.record("server %s gave %d wrong responses", srv.id, srv.trouble.wrong)
 			sleep(ctx, 2*time.Second)
--- a/review/scene/server.go
+++ b/review/scene/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,6 +18,8 @@
 	keyCount = 65536
 	// heartbeat is the time between two registrations of a server.
 	heartbeat = 870 * time.Millisecond
+	// maxConns is how many connections a server accepts from all callers together.
+	maxConns = 110
 	// queueLength is how many requests a server queues beyond its slots.
 	queueLength = 24
 )
@@ -44,9 +47,8 @@
 	coldTime          time.Duration
 	world             *world
 	listener          net.Listener
-	// address is where the server listens, and advertised what it registers.
-	address, advertised string
-	startedAt           time.Time
+	address           string
+	startedAt         time.Time
 	// trouble decides on wrong responses; nil means none.
 	trouble *trouble
 
@@ -71,7 +73,7 @@
 	}
 	s := &server{
 		id: id, service: service, zone: zone, slots: slots, sharded: sharded, coldTime: cold, world: w, listener: l,
-		address: l.Addr().String(), advertised: l.Addr().String(), startedAt: time.Now(), trouble: t, state: "ready",
+		address: l.Addr().String(), startedAt: time.Now(), trouble: t, state: "ready",
 		running: make(map[*work]bool), free: make(chan struct{}, slots), conns: make(map[net.Conn]bool),
 	}
 	w.add(s)
@@ -95,13 +97,10 @@
 }
 
 func (s *server) register() {
-	if s.world.storeAway.Load() {
-		return
-	}
 	s.mu.Lock()
 	s.sequence++
 	entry, err := json.Marshal(map[string]any{
-		"address": s.advertised, "born": s.startedAt.UnixMilli(),
+		"address": s.address, "born": s.startedAt.UnixMilli(),
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
 		"status": map[string]any{"state": s.state, "sequence": s.sequence, "coldLeft": milliseconds(s.cold())},
 	})
@@ -153,6 +152,11 @@
 			_ = c.Close()
 			return
 		}
+		if len(s.conns) >= maxConns {
+			s.mu.Unlock()
+			reset(c)
+			continue
+		}
 		s.conns[c] = true
 		s.mu.Unlock()
 		go func() {
@@ -234,7 +238,7 @@
 		if out == nil {
 			return
 		}
-		if _, err := x.conn.Write(out); err != nil {
+		if _, err := x.conn.Write(out); err != nil || bytes.Contains(out, []byte(leavingHeaders)) {
 			return
 		}
 	}
@@ -246,7 +250,7 @@
 	s.answers++
 	s.mu.Unlock()
 	if expect := r.Header.Get("Celeryhook-Expect-Instance"); expect != "" && expect != s.id {
-		return response(http.StatusMisdirectedRequest, http.Header{"Celeryhook-Instance-Id": {s.id}}, nil)
+		return s.response(http.StatusMisdirectedRequest, http.Header{"Celeryhook-Instance-Id": {s.id}}, nil)
 	}
 	switch r.URL.Path {
 	case "/health":
@@ -254,7 +258,11 @@
 		if cold := s.cold(); cold > 0 {
 			h.Set("Celeryhook-Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
 		}
-		return response(http.StatusOK, h, nil)
+		status := http.StatusOK
+		if s.leaving() {
+			status = http.StatusServiceUnavailable
+		}
+		return s.response(status, h, nil)
 	case "/api/grant", "/api/release":
 		return s.respondToOrder(x, r, body)
 	}
@@ -277,10 +285,10 @@
 func (s *server) respondToOrder(x *exchange, r *http.Request, body []byte) []byte {
 	var o order
 	if err := json.Unmarshal(body, &o); err != nil || o.From < 0 || o.From > o.To || o.To >= keyCount {
-		return response(http.StatusBadRequest, nil, nil)
+		return s.response(http.StatusBadRequest, nil, nil)
 	}
 	if r.URL.Path == "/api/grant" {
-		out := response(s.grant(o), nil, nil)
+		out := s.response(s.grant(o), nil, nil)
 		x.lastOrder = out
 		return out
 	}
@@ -297,7 +305,7 @@
 	if len(busy) > 0 {
 		s.world.record("server %s has ended its work on keys %d to %d and answers the release", s.id, o.From, o.To)
 	}
-	out := response(http.StatusOK, http.Header{"Celeryhook-Handover": {fmt.Sprintf("%s-%d-%d", s.id, o.From, o.Fence)}}, nil)
+	out := s.response(http.StatusOK, http.Header{"Celeryhook-Handover": {fmt.Sprintf("%s-%d-%d", s.id, o.From, o.Fence)}}, nil)
 	x.lastOrder = out
 	return out
 }
@@ -368,7 +376,7 @@
 	head := http.Header{"Celeryhook-Request-Id": {id}}
 	notRun := func(status int) []byte {
 		head.Set("Celeryhook-Not-Executed", "1")
-		return response(status, head, nil)
+		return s.response(status, head, nil)
 	}
 	if id == "" {
 		return notRun(http.StatusBadRequest)
@@ -427,12 +435,12 @@
 	delete(s.running, w)
 	s.mu.Unlock()
 	s.world.ended(s, w, cut)
+	head.Set("Celeryhook-Server-Stamp", s.id+"."+id)
 	if cut {
-		return response(http.StatusGatewayTimeout, head, nil)
+		return s.response(http.StatusGatewayTimeout, head, nil)
 	}
-	head.Set("Celeryhook-Server-Stamp", s.id+"."+id)
 	head.Set("Celeryhook-Server-Load", s.load())
-	return response(http.StatusOK, head, []byte("answer of "+s.id+" to "+id+"\n"))
+	return s.response(http.StatusOK, head, []byte("answer of "+s.id+" to "+id+"\n"))
 }
 
 func (s *server) holdsKey(key int) bool {
@@ -442,7 +450,7 @@
 }
 
 // workTime is how long a request takes. The path names it in milliseconds, as in
-// /work/300/x.
+// /desk/300/x.
 func workTime(path string) time.Duration {
 	parts := strings.Split(path, "/")
 	if len(parts) > 2 {
@@ -453,15 +461,37 @@
 	return 10 * time.Millisecond
 }
 
-func response(status int, h http.Header, body []byte) []byte {
+// response returns the bytes of a response. A server that leaves says so in all of
+// them, and closes the connection.
+func (s *server) response(status int, h http.Header, body []byte) []byte {
 	var b strings.Builder
+	leaving := ""
+	if s.leaving() {
+		leaving = leavingHeaders
+	}
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if h != nil {
 		_ = h.Write(&b) // a strings.Builder returns no error
 	}
-	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
+	fmt.Fprintf(&b, "%sContent-Length: %d\r\n\r\n", leaving, len(body))
 	b.Write(body)
 	return []byte(b.String())
 }
 
+const leavingHeaders = "Connection: close\r\nServer-Leaving: 1\r\n"
+
+func (s *server) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state != "ready"
+}
+
 func milliseconds(d time.Duration) string { return fmt.Sprintf("%dms", d.Milliseconds()) }
+
+// reset closes a connection so that its peer sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = c.Close()
+}
