node, ownership: log why a previous owner no longer holds keys

The logs couldn't tell how a move of keys came to its grant: by a confirmed release, by a restart of the holder, or because its grants had expired. A release that failed was only counted. "keys moved" now names which of the three it was, and "release not confirmed" the error.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -43,6 +43,8 @@
 			result.Outcome = ownership.ReleaseHolderExited
 		default:
 			n.metrics.Count("releases_failed")
+			n.log.Info("release not confirmed", "target", o.Holder.Target, "address", o.Holder.Address,
+				"service", o.Move.Service, "from_unit", o.From, "to_unit", o.To, "fence", o.Token, "error", err.Error())
 		}
 		_ = n.assignerRing.Put(ctx, result)
 	})
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -69,6 +69,10 @@
 	ReleaseUnknown
 )
 
+func (o ReleaseOutcome) String() string {
+	return [...]string{"confirmed", "holder exited", "unknown"}[o]
+}
+
 // Released is the result of a Release.
 type Released struct {
 	Move     MoveID
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -26,6 +26,8 @@
 	stage     moveStage
 	createdAt core.Instant
 	handover  string
+	// release says why the previous holder no longer holds the keys.
+	release string
 	// orderPending is set while a Release or Grant is in progress.
 	orderPending  bool
 	retryAt       core.Instant
@@ -133,7 +135,7 @@
 func (a *Assigner) runMove(now core.Instant, mv *move) []Output {
 	e := mv.eviction
 	if mv.stage == releasing && a.grantsExpired(now, e, a.ledger.GrantDuration()) {
-		mv.stage, mv.orderPending = granting, false
+		mv.stage, mv.orderPending, mv.release = granting, false, "grants expired"
 	}
 	if mv.orderPending || now.Before(mv.retryAt) {
 		return nil
@@ -212,7 +214,7 @@
 		return []Output{Event{Text: "holder of moving keys doesn't answer", Fields: mv.fields()}}
 	}
 	e.unresponsive = false
-	mv.stage, mv.handover = granting, m.Handover
+	mv.stage, mv.handover, mv.release = granting, m.Handover, m.Outcome.String()
 	return nil
 }
 
@@ -227,7 +229,7 @@
 		return nil
 	}
 	mv.stage, mv.finishedAt = done, now
-	return []Output{Event{Text: "keys moved", Fields: append(mv.fields(), "granted", m.OK, "handover", mv.handover != "", "took_ms", now.Sub(mv.createdAt).Milliseconds())}}
+	return []Output{Event{Text: "keys moved", Fields: append(mv.fields(), "release", mv.release, "granted", m.OK, "handover", mv.handover != "", "took_ms", now.Sub(mv.createdAt).Milliseconds())}}
 }
 
 func (a *Assigner) grantExpiry(now core.Instant, m GrantExpiry) []Output {
