--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 const (
@@ -48,7 +50,7 @@
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	body, err := transport.ReadBody(res, maxResponseBytes)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
--- a/internal/command/operators_test.go
+++ b/internal/command/operators_test.go
@@ -72,6 +72,22 @@
 	is.True(strings.Contains(out, "no map") && strings.Contains(errs, "no-owner"))
 }
 
+// Guards against an answer that is shown to the operator as complete although it
+// is only the beginning of one.
+func TestEndlessAnswer(t *testing.T) {
+	is := is.New(t)
+	vm := newVM(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write([]byte(`{"key":"k","range":"s/1","target":"t"}`))
+		for spaces := []byte(strings.Repeat(" ", 64<<10)); err == nil; {
+			_, err = w.Write(spaces)
+		}
+	})
+	code, out, errs := runMain("explain", "--vm", vm, "--service", "s", "k")
+	is.Equal(code, ExitFailed)
+	is.Equal(out, "")
+	is.True(strings.Contains(errs, "too large"))
+}
+
 // Guards against exit codes that differ from those documented by --help.
 func TestExitCodes(t *testing.T) {
 	for args, want := range map[string]int{
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 // Entry is an encoded record with its offset in the log.
@@ -113,7 +114,7 @@
 		return unavailable(method, path, err)
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	data, err := transport.ReadBody(res, maxResponseBytes)
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: %s %s: %w", ErrUnavailable, method, path, err)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -14,6 +14,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/grant"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 // Headers of requests to targets and of targets' responses.
@@ -94,9 +95,12 @@
 		return grant.OrderReply{}, sendError(address, err)
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
-	if err != nil || res.StatusCode != http.StatusOK {
+	data, err := transport.ReadBody(res, maxResponseBytes)
+	switch {
+	case err != nil:
 		return grant.OrderReply{}, fmt.Errorf("%w: %s: status %d: %w", ErrNoResponse, address, res.StatusCode, err)
+	case res.StatusCode != http.StatusOK:
+		return grant.OrderReply{}, fmt.Errorf("%w: %s: status %d", ErrNoResponse, address, res.StatusCode)
 	}
 	var reply grant.OrderReply
 	if err := json.Unmarshal(data, &reply); err != nil {
@@ -152,12 +156,9 @@
 		return Response{}, sendError(address, err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return Response{}, fmt.Errorf("%w: %s: body: %w", ErrNoResponse, address, err)
-	case len(body) > maxResponseBytes:
-		return Response{}, fmt.Errorf("%w: %s: body exceeds %d bytes", ErrNoResponse, address, maxResponseBytes)
+	body, err := transport.ReadBody(res, maxResponseBytes)
+	if err != nil {
+		return Response{}, fmt.Errorf("%w: %s: %w", ErrNoResponse, address, err)
 	}
 	if got := res.Header.Get(HeaderRequestID); got != string(m.Request) {
 		return Response{}, fmt.Errorf("%w: %s: wanted %q, got %q", ErrResponseMismatch, address, m.Request, got)
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -4,10 +4,13 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/grant"
 )
 
 // Guards against a transport that resends a non-idempotent request after a lost
@@ -83,3 +86,29 @@
 	is.True(errors.Is(err, ErrNoResponse))
 	is.True(!errors.Is(err, ErrNotSent))
 }
+
+// Guards against an order that counts as carried out although its response never
+// ends, and against a response with another status that is reported without one.
+func TestOrderWithoutACompleteResponse(t *testing.T) {
+	is := is.New(t)
+	status := http.StatusOK
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		if _, err := w.Write([]byte("{}")); status != http.StatusOK || err != nil {
+			return
+		}
+		for spaces := []byte(strings.Repeat(" ", 64<<10)); ; {
+			if _, err := w.Write(spaces); err != nil {
+				return
+			}
+		}
+	}))
+	defer h.Close()
+	c := NewClient("vm", h.Client())
+	_, err := c.Order(t.Context(), h.Listener.Addr().String(), grant.Order{})
+	is.True(errors.Is(err, ErrNoResponse))
+	status = http.StatusBadGateway
+	_, err = c.Order(t.Context(), h.Listener.Addr().String(), grant.Order{})
+	is.True(errors.Is(err, ErrNoResponse))
+	is.True(strings.HasSuffix(err.Error(), "status 502"))
+}
