platform, transport: a redirect confirms no order

Addresses of targets are used again by others.

All clients of internal/transport return the redirect as the response, which is no status that confirms anything.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -26,9 +26,9 @@
 func NewClient(clock duty.Clock) *Client {
 	// A VM has at most one call at a time to most others, and the source that it
 	// follows holds a Sync in addition.
-	return &Client{clock: clock, http: &http.Client{Transport: transport.New(transport.Options{
+	return &Client{clock: clock, http: transport.NewClient(transport.Options{
 		DialTimeout: 300 * time.Millisecond, IdleTimeout: 10 * time.Second, MaxIdlePerHost: 2,
-	})}}
+	})}
 }
 
 // rpc returns the RPC client of a member.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,5 +1,5 @@
-// Package transport creates the HTTP transport for short calls within a region:
-// to the store, to targets that hold keys and to other VMs.
+// Package transport creates the HTTP clients for short calls within a region: to
+// the store, to targets that hold keys and to other VMs.
 package transport
 
 import (
@@ -18,6 +18,15 @@
 	MaxIdlePerHost           int
 }
 
+// NewClient returns a client that doesn't follow redirects: the response of another
+// address says nothing about a call to this one.
+func NewClient(o Options) *http.Client {
+	return &http.Client{
+		Transport:     New(o),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // New returns a transport. TCP keep-alives are disabled because idle
 // connections are closed before the first probe would be sent. A connection is
 // reset when it is closed: bytes of a call that was given up while the network
