transport: bound the head of a response

Cause: the transport of calls to targets, the store and other VMs had the default of net/http, 10 MB of head for each call, and 96 orders run at once. Requests and health checks don't use it; TestEndlessResponseIsCutOff covers them. Bodies of responses to orders are not kept.

The limit is 64 KiB as for requests, informational responses included, so that 96 orders hold some 6 MB of head at most.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,10 @@
 	"time"
 )
 
+// maxHeadBytes bounds the status line and the header of a response, informational
+// responses included. The default of net/http is 10 MB for each call.
+const maxHeadBytes = 64 << 10
+
 // Options configures connection reuse. DialTimeout bounds connection
 // establishment; an idle connection is closed after IdleTimeout, and at most
 // MaxIdlePerHost are kept for each address.
@@ -43,6 +47,7 @@
 			return c, nil
 		},
 		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
