ingress: a planned stop answers every request that it has read

Cause: for 2.6 s a stop goes on accepting, and afterwards it waited until its deadline and closed what was left. Nothing limited the time of a request that came late: neither its deadline, nor the one that its target gets, nor the decision whether it can be served looked at the time left. The stop also ended with the deadline of its context, at which the process exits.

A stop has a plan now: until the listener closes, deadlines end with the stop, so that the balancer rejects what usually takes longer; after that, only requests that end in time whatever their target does are admitted. The others get 503 at once and haven't been passed on. 0.2 s before the end each request that is left gets a response: 503 while it waits for a target or for the rest of its body, 504 if it was passed on. What the stop still cuts is counted and logged.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -52,9 +52,15 @@
 	requests []balance.SelectTarget
 	dones    []balance.AttemptDone
 	reply    func(n int) balance.Decision
+	// busy is set if the balancer makes no decision.
+	busy bool
 }
 
-func (b *balancer) SelectTarget(_ context.Context, req balance.SelectTarget) (balance.Decision, error) {
+func (b *balancer) SelectTarget(ctx context.Context, req balance.SelectTarget) (balance.Decision, error) {
+	if b.busy {
+		<-ctx.Done()
+		return balance.Decision{}, ctx.Err()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests = append(b.requests, req)
@@ -146,6 +152,7 @@
 		Version: 1, Services: []routing.Service{{Name: "s"}, {Name: "sharded", Sharded: true}}, Limits: routing.Limits{BodyBytes: 1 << 20},
 		Routes: []routing.Route{
 			{Name: "safe", Host: "h", Prefix: "/safe/", Idempotent: true, Timeout: 2 * time.Second, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
+			{Name: "long", Host: "h", Prefix: "/long/", Timeout: time.Minute, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Timeout: 2 * time.Second, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
 			{
 				Name: "keyed", Host: "h", Prefix: "/keyed/", Idempotent: true, Timeout: 2 * time.Second, LatencyObjective: time.Second,
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -29,7 +29,8 @@
 	*Server
 	w           http.ResponseWriter
 	httpRequest *http.Request
-	// ctx ends when the caller closes the connection or the deadline passes.
+	// ctx ends when the caller closes the connection, the deadline passes or the VM
+	// has to stop.
 	ctx       context.Context
 	id        string
 	rule      *routing.Rule
@@ -64,6 +65,8 @@
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock()}
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	ctx, span := s.Tracer.Start(httpRequest.Context(), "request")
 	defer span.End()
 	if rejection := r.prepare(); rejection != nil {
@@ -72,6 +75,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(s.Clock()))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	cancelEnd := context.AfterFunc(s.requests, func() { end(errStopping) })
+	defer cancelEnd()
 	r.ctx = ctx
 	r.fingerprint = sync.OnceValue(r.computeFingerprint)
 	if !s.Quarantine.Empty() {
@@ -140,7 +147,18 @@
 	}
 	r.deadline = r.startedAt.Add(timeout)
 	r.header = forwardedHeader(r.httpRequest.Header, r.Headers)
-	return r.readBody(table.Limits().BodyBytes)
+	if _, ok := r.admit(r.deadline); !ok {
+		return stopRejection()
+	}
+	if rejection := r.readBody(table.Limits().BodyBytes); rejection != nil {
+		return rejection
+	}
+	// A stop may have begun, or gone on, while the body was read.
+	var ok bool
+	if r.deadline, ok = r.admit(r.deadline); !ok {
+		return stopRejection()
+	}
+	return nil
 }
 
 // readBody reads the complete body, so that a target never receives part of a
@@ -156,15 +174,17 @@
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
-	timer := time.AfterFunc(r.deadline.Sub(r.Clock()), func() {
-		_ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0))
-	})
+	endRead := func() { _ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0)) }
+	timer := time.AfterFunc(r.deadline.Sub(r.Clock()), endRead)
+	cancelEndRead := context.AfterFunc(r.requests, endRead)
 	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit))
-	inTime := timer.Stop()
-	if !inTime || err != nil {
+	inTime, running := timer.Stop(), cancelEndRead()
+	if !inTime || !running || err != nil {
 		r.w.Header().Set("Connection", "close")
 		var large *http.MaxBytesError
 		switch {
+		case !running:
+			return stopRejection()
 		case !inTime:
 			return &rejection{status: http.StatusRequestTimeout, reason: "body-incomplete"}
 		case errors.As(err, &large):
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -33,7 +33,7 @@
 // connection says so, also if the stop began while the request was in progress: the
 // caller's next request could meet the close.
 func (r *request) writeHead(status int) {
-	if r.stopping.Load() {
+	if r.plan.Load() != nil {
 		r.w.Header().Set("Connection", "close")
 	}
 	r.w.WriteHeader(status)
@@ -51,6 +51,8 @@
 		switch {
 		case errors.Is(context.Cause(r.ctx), errCallerClosed):
 			r.reason = "caller-left"
+		case errors.Is(context.Cause(r.ctx), errStopping):
+			r.reason = "stopping"
 		case r.ctx.Err() != nil:
 			r.reason = "deadline"
 		default:
@@ -75,7 +77,7 @@
 		return
 	}
 	rej := &rejection{status: http.StatusBadGateway, reason: "unknown-" + a.result.String()}
-	if a.result == balance.TimedOut || upstream.IsTimeout(a.err) {
+	if a.result == balance.TimedOut || upstream.IsTimeout(a.err) || errors.Is(context.Cause(r.ctx), errStopping) {
 		rej.status = http.StatusGatewayTimeout
 	}
 	if a.err != nil {
@@ -85,13 +87,13 @@
 }
 
 // minRetryAfter is the Retry-After time after attempts at overloaded or
-// unreachable targets.
+// unreachable targets, and while the VM stops.
 const minRetryAfter = 100 * time.Millisecond
 
 // sentinelText returns the text of the sentinel error that err wraps. It is
 // part of responses to callers.
 func sentinelText(err error) string {
-	for _, sentinel := range []error{upstream.ErrIncomplete, upstream.ErrConnectionLost, errCallerClosed} {
+	for _, sentinel := range []error{upstream.ErrIncomplete, upstream.ErrConnectionLost, errCallerClosed, errStopping} {
 		if errors.Is(err, sentinel) {
 			return sentinel.Error()
 		}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -82,14 +82,21 @@
 	Options
 	server   *http.Server
 	listener net.Listener
-	stopping atomic.Bool
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	// plan is set when the server stops.
+	plan atomic.Pointer[stopPlan]
+	// requests ends, with the cause errStopping, when the requests in progress must
+	// end.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	inProgress  atomic.Int64
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
 }
 
 // NewServer returns a server that doesn't listen yet.
 func NewServer(o Options) *Server {
 	s := &Server{Options: o, conns: make(map[*conn]struct{})}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	router := gin.New()
 	router.RedirectTrailingSlash = false
 	router.NoRoute(func(c *gin.Context) {
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -2,27 +2,89 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 )
 
 const (
-	// drainDelay is how long the VM keeps accepting requests after it has become
-	// unready: the load balancer probes once a second and needs two failures, and
-	// callers see "Connection: close" in their next response.
-	drainDelay = 2600 * time.Millisecond
+	// maxAcceptTime is how long the VM keeps accepting connections after it has
+	// become unready: the load balancer probes once a second and needs two failures,
+	// and callers see "Connection: close" in their next response.
+	maxAcceptTime = 2600 * time.Millisecond
+	// responseMargin is how long before the end of the stop the last response is
+	// written, so that it reaches its caller before the process ends.
+	responseMargin = 200 * time.Millisecond
+	// defaultStopTimeout applies to a stop whose context has no deadline.
+	defaultStopTimeout = time.Minute
 	// minIdleTime is how long a connection must be idle before the VM closes it.
 	minIdleTime      = 300 * time.Millisecond
 	idlePollInterval = 50 * time.Millisecond
 )
 
-// Stop stops the server gracefully: from now on each response closes its
-// connection; after drainDelay it closes the listener and the idle connections
-// and waits for the requests in progress until the context ends.
+// errStopping is the cancellation cause of requests that are in progress at the end
+// of a stop. Its text is part of responses to callers.
+var errStopping = errors.New("ingress: VM is stopping")
+
+// stopPlan holds the times of a stop.
+type stopPlan struct {
+	// acceptUntil is when the listener closes.
+	acceptUntil core.Instant
+	// respondBy is when every request that was read must have its response.
+	respondBy core.Instant
+}
+
+func newStopPlan(now core.Instant, timeout time.Duration) stopPlan {
+	available := max(0, timeout-responseMargin)
+	return stopPlan{acceptUntil: now.Add(min(maxAcceptTime, available/2)), respondBy: now.Add(available)}
+}
+
+// admit returns the deadline of a request that has the given one, or false if the
+// request must be refused. While the listener is open, a request may use the time
+// that is left, and the balancer rejects it if that is too short for its service.
+// Later, only a request that ends in time whatever its target does is admitted.
+func (p stopPlan) admit(now, deadline core.Instant) (core.Instant, bool) {
+	if now.Before(p.acceptUntil) {
+		return min(deadline, p.respondBy), true
+	}
+	return deadline, deadline <= p.respondBy
+}
+
+// admit returns the deadline of a request that has the given one, or false if the
+// server stops and must refuse the request.
+func (s *Server) admit(deadline core.Instant) (core.Instant, bool) {
+	if p := s.plan.Load(); p != nil {
+		return p.admit(s.Clock(), deadline)
+	}
+	return deadline, true
+}
+
+// stopRejection refuses a request that hasn't been passed on. The caller may return
+// at once, as new connections reach other VMs.
+func stopRejection() *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: minRetryAfter}
+}
+
+// Stop stops the server gracefully until the deadline of the context. From now on
+// each response closes its connection. Later the listener and the idle connections
+// are closed, and shortly before the deadline the requests that are still in
+// progress get a response of the VM.
 func (s *Server) Stop(ctx context.Context) error {
-	s.stopping.Store(true)
-	duty.Sleep(ctx, drainDelay)
+	timeout := defaultStopTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = time.Until(deadline)
+	}
+	p := newStopPlan(s.Clock(), timeout)
+	s.plan.Store(&p)
+	end := time.AfterFunc(p.respondBy.Sub(s.Clock()), func() { s.endRequests(errStopping) })
+	defer end.Stop()
+	ctx, cancel := context.WithTimeout(ctx, timeout-responseMargin/2)
+	defer cancel()
+
+	duty.Sleep(ctx, p.acceptUntil.Sub(s.Clock()))
 	_ = s.listener.Close()
 	// A connection may have been accepted just before the listener closed, and its
 	// request may still be unread while the VM's CPU is throttled.
@@ -32,6 +94,10 @@
 		}
 		duty.Sleep(ctx, idlePollInterval)
 	}
+	if cut := s.inProgress.Load(); cut > 0 {
+		s.Metrics.Counter("stop_cut_requests").Inc(cut)
+		s.Log.Info("stop ends with requests in progress", "count", cut)
+	}
 	return s.server.Close()
 }
 
