ingress: leave more time for the last responses of a stop

A VM with a fraction of a core had 0.1 s between the end of its requests and the close of their connections, and a busy machine could miss it. The responses are due 0.4 s before the end of the stop and the connections are closed 0.05 s before it. Once no connection is left after that moment, the stop ends without waiting for them to be idle.

Requests that targets work on are still answered in the last sixth of a grace period of 6 s.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -89,13 +89,15 @@
 	requests    context.Context
 	endRequests context.CancelCauseFunc
 	inProgress  atomic.Int64
-	mu          sync.Mutex
-	conns       map[*conn]struct{}
+	// responseMargin is a field for the tests.
+	responseMargin time.Duration
+	mu             sync.Mutex
+	conns          map[*conn]struct{}
 }
 
 // NewServer returns a server that doesn't listen yet.
 func NewServer(o Options) *Server {
-	s := &Server{Options: o, conns: make(map[*conn]struct{})}
+	s := &Server{Options: o, conns: make(map[*conn]struct{}), responseMargin: responseMargin}
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	router := gin.New()
 	router.RedirectTrailingSlash = false
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -15,9 +15,12 @@
 	// become unready: the load balancer probes once a second and needs two failures,
 	// and callers see "Connection: close" in their next response.
 	maxAcceptTime = 2600 * time.Millisecond
-	// responseMargin is how long before the end of the stop the last response is
-	// written, so that it reaches its caller before the process ends.
-	responseMargin = 200 * time.Millisecond
+	// responseMargin is how long before the end of the stop the last responses are
+	// due, so that a VM with little processor time still writes all of them.
+	responseMargin = 400 * time.Millisecond
+	// closeMargin is how long before the end of the stop the remaining connections
+	// are closed.
+	closeMargin = 50 * time.Millisecond
 	// defaultStopTimeout applies to a stop whose context has no deadline.
 	defaultStopTimeout = time.Minute
 	// minIdleTime is how long a connection must be idle before the VM closes it.
@@ -37,8 +40,8 @@
 	respondBy core.Instant
 }
 
-func newStopPlan(now core.Instant, timeout time.Duration) stopPlan {
-	available := max(0, timeout-responseMargin)
+func newStopPlan(now core.Instant, timeout, margin time.Duration) stopPlan {
+	available := max(0, timeout-margin)
 	return stopPlan{acceptUntil: now.Add(min(maxAcceptTime, available/2)), respondBy: now.Add(available)}
 }
 
@@ -77,20 +80,22 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	p := newStopPlan(s.Clock(), timeout)
+	p := newStopPlan(s.Clock(), timeout, s.responseMargin)
 	s.plan.Store(&p)
 	end := time.AfterFunc(p.respondBy.Sub(s.Clock()), func() { s.endRequests(errStopping) })
 	defer end.Stop()
-	ctx, cancel := context.WithTimeout(ctx, timeout-responseMargin/2)
+	ctx, cancel := context.WithTimeout(ctx, timeout-closeMargin)
 	defer cancel()
 
 	duty.Sleep(ctx, p.acceptUntil.Sub(s.Clock()))
 	_ = s.listener.Close()
 	// A connection may have been accepted just before the listener closed, and its
 	// request may still be unread while the VM's CPU is throttled.
-	for idleFor := time.Duration(0); idleFor < minIdleTime && ctx.Err() == nil; idleFor += idlePollInterval {
+	for idleFor := time.Duration(0); ctx.Err() == nil; idleFor += idlePollInterval {
 		if s.closeIdleConns() > 0 {
 			idleFor = 0
+		} else if idleFor >= minIdleTime || !s.Clock().Before(p.respondBy) {
+			break
 		}
 		duty.Sleep(ctx, idlePollInterval)
 	}
