--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -22,13 +23,15 @@
 	}
 }
 
-// Guards against a target whose bytes never end: they are read into memory until
-// the process is killed, or keep a request until its deadline. Each place of a
-// response where bytes may go on without end is covered.
-func TestEndlessResponseIsCutOff(t *testing.T) {
+// endlessResponse is a response that repeats its last part until its peer closes the
+// connection.
+type endlessResponse struct{ start, repeat string }
+
+// endlessResponses covers each place of a response where bytes may go on without end.
+func endlessResponses() map[string]endlessResponse {
 	const head = "HTTP/1.1 200 OK\r\nStamp: s\r\n"
 	filler := strings.Repeat("x", 16<<10)
-	for name, s := range map[string]struct{ start, repeat string }{
+	return map[string]endlessResponse{
 		"status line":             {"HTTP/1.1 200 ", filler},
 		"no HTTP":                 {"", filler},
 		"header line":             {head + "A: ", filler},
@@ -43,24 +46,39 @@
 		"trailer":                 {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + filler[:1000] + "\r\n"},
 		"trailer line":            {head + "Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ", filler},
 		"responses to others":     {"", head + "Id: 2\r\nContent-Length: 1000\r\n\r\n" + filler[:1000]},
+	}
+}
+
+// Guards against a target whose bytes never end: they are read into memory until
+// the process is killed, or keep a request or a health check until its deadline.
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	for kind, exchange := range map[string]func(address string) (*Response, error){
+		"request": func(address string) (*Response, error) { return send(newClient(), address, "1") },
+		"health check": func(address string) (*Response, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			return newClient().Health(ctx, address, "/health")
+		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			taken := make(chan int, 1)
-			address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
-				_, _ = io.WriteString(c, s.start)
-				taken <- endless(c, s.repeat)
+		for name, s := range endlessResponses() {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				taken := make(chan int, 1)
+				address, _ := startTarget(t, func(_ int, _ string, c net.Conn) {
+					_, _ = io.WriteString(c, s.start)
+					taken <- endless(c, s.repeat)
+				})
+				resp, err := exchange(address)
+				is.True(resp == nil)
+				is.True(errors.Is(err, ErrIncomplete)) // before the deadline
+				select {
+				case n := <-taken:
+					is.True(n < 2*maxResponseBytes) // the limits and the buffers of the sockets
+				case <-time.After(10 * time.Second):
+					t.Fatal("the connection is still open")
+				}
 			})
-			resp, err := send(newClient(), address, "1")
-			is.True(resp == nil)
-			is.True(errors.Is(err, ErrIncomplete)) // before the deadline
-			select {
-			case n := <-taken:
-				is.True(n < 2*maxResponseBytes) // the limits and the buffers of the sockets
-			case <-time.After(10 * time.Second):
-				t.Fatal("the connection is still open")
-			}
-		})
+		}
 	}
 }
 
