transport: bound the memory of a decoded head

Cause: the bound on a head counts the bytes on the wire. A header of many short lines takes about 15 times as much once net/http has decoded it, and up to 96 orders wait at once. TestEndlessHeadIsCutOff counts received bytes and couldn't see it. Change: heads of responses to orders, of the store and of other VMs are bounded to 8 KiB. They carry a handover of some bytes at most.

--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -1,10 +1,14 @@
 package transport
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -77,3 +81,75 @@
 	c.received.Add(int64(n))
 	return n, err
 }
+
+// Guards against heads that take many times their bytes when they are decoded: of
+// 64 KiB of short header lines became about 1 MB for each call that was in progress.
+func TestDecodedHeadsAreBounded(t *testing.T) {
+	const (
+		calls     = 96 // orders that a VM sends at once
+		maxMemory = 32 << 20
+	)
+	for name, line := range map[string]func(i int) string{
+		"different names": func(i int) string { return fmt.Sprintf("%x:\r\n", i) },
+		"one name":        func(int) string { return "a:\r\n" },
+		"long line":       func(int) string { return "a: " + strings.Repeat("x", 1000) + "\r\n" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var head bytes.Buffer
+			head.WriteString("HTTP/1.1 200 OK\r\n")
+			for i := 0; head.Len() < maxHeadBytes-1200; i++ {
+				head.WriteString(line(i))
+			}
+			head.WriteString("\r\n")
+			address := serveHeads(t, head.Bytes())
+			client := NewClient(Options{DialTimeout: 5 * time.Second, IdleTimeout: time.Second, MaxIdlePerHost: 1})
+			before := heapInUse()
+			var responses []*http.Response
+			for range calls {
+				res, err := client.Get("http://" + address)
+				is.NoErr(err)
+				defer func() { _ = res.Body.Close() }()
+				responses = append(responses, res)
+			}
+			used := heapInUse() - before
+			runtime.KeepAlive(responses)
+			t.Logf("%d responses take %d KB", calls, used>>10)
+			is.True(used < maxMemory)
+		})
+	}
+}
+
+// serveHeads answers each request with the head and a body that doesn't end before
+// the test. It returns its address.
+func serveHeads(t *testing.T, head []byte) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	end := make(chan struct{})
+	t.Cleanup(func() { close(end); _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = c.Write(head)
+				<-end
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// heapInUse returns the bytes of reachable objects.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,8 +11,9 @@
 )
 
 // maxHeadBytes bounds the status line and the header of a response, informational
-// responses included. The default of net/http is 10 MB for each call.
-const maxHeadBytes = 64 << 10
+// responses included. The default of net/http is 10 MB for each call. A header of
+// many short lines takes about 15 times its bytes once it is decoded.
+const maxHeadBytes = 8 << 10
 
 // Options configures connection reuse. DialTimeout bounds connection
 // establishment; an idle connection is closed after IdleTimeout, and at most
