upstream: bound the lines of a head

Change: a head has at most 1000 lines. Heads of responses to callers may still be 64 KiB long. A head that is too long is an incomplete response, as before, also where it is cut at its first byte.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -146,7 +146,10 @@
 // read reads one response. It returns nil for a response to another request and
 // for an informational one.
 func (c *Client) read(cn *conn, r *Request) (*Response, bool, error) {
-	if _, err := cn.reader.Peek(1); err != nil {
+	switch err := cn.beginHead(); {
+	case errors.Is(err, errTooLong):
+		return nil, false, fmt.Errorf("%w: header: %w", ErrIncomplete, err)
+	case err != nil:
 		return nil, false, fmt.Errorf("%w: %w", ErrConnectionLost, err)
 	}
 	res, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -16,6 +16,9 @@
 	// maxHeadBytes bounds the status line and header of a response, informational
 	// responses included.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of a head. Each takes about 75 bytes once it is
+	// decoded, however short it is.
+	maxHeadLines = 1000
 	// maxFramingBytes bounds chunk sizes, chunk extensions and trailers in
 	// addition to the body: a response in chunks of 64 bytes still fits.
 	maxFramingBytes = maxHeadBytes + maxResponseBytes/8
@@ -33,6 +36,7 @@
 type limitedConn struct {
 	net.Conn
 	remaining int64
+	head      headLines
 }
 
 // Read implements net.Conn.
@@ -42,9 +46,52 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.remaining)])
 	c.remaining -= int64(n)
+	if err := c.head.add(b[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
+// beginHead starts to count the lines of the next head, of which a part may be
+// buffered, and waits for its first byte.
+func (c *conn) beginHead() error {
+	c.limit.head = headLines{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never more than there is
+	if err := c.limit.head.add(buffered); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// headLines counts the lines of a head as its bytes arrive. It ignores bytes behind
+// the empty line that ends the head.
+type headLines struct {
+	count int
+	// text is set if the current line isn't empty so far.
+	text, ended bool
+}
+
+// add counts the lines that end in b. It returns an error if there are too many.
+func (h *headLines) add(b []byte) error {
+	for len(b) > 0 && !h.ended {
+		line, rest, complete := bytes.Cut(b, []byte{'\n'})
+		h.text = h.text || len(bytes.Trim(line, "\r")) > 0
+		switch {
+		case !complete:
+			return nil
+		case !h.text:
+			h.ended = true
+			return nil
+		}
+		if h.count++; h.count > maxHeadLines {
+			return fmt.Errorf("%w: over %d lines in a head", errTooLong, maxHeadLines)
+		}
+		h.text, b = false, rest
+	}
+	return nil
+}
+
 // memory is the memory that is left for large bodies. It is safe for concurrent
 // use.
 type memory struct{ free atomic.Int64 }
