observe: shorten long texts in log lines

Cause: the errors of net/http quote the line that they can't read, escaped, and the JSON encoder escapes it again: 63 KiB became a line of 600 KB. The log is bounded in lines, not in bytes. Change: the message and each text of a line are cut at 1 KiB; the line says how long the text was. TestLongFieldsAreTruncated failed before in all seven places where a text can stand.

--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -43,7 +43,7 @@
 	go b.run()
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	z := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), b, zapcore.InfoLevel))
+	z := zap.New(truncatingCore{zapcore.NewCore(zapcore.NewJSONEncoder(config), b, zapcore.InfoLevel)})
 	return zapr.NewLogger(z), b.close
 }
 
--- a/internal/observe/log.go
+++ b/internal/observe/log.go
@@ -14,6 +14,6 @@
 func NewLogger(w io.Writer) (logr.Logger, func()) {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	z := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), zapcore.InfoLevel))
+	z := zap.New(truncatingCore{zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), zapcore.InfoLevel)})
 	return zapr.NewLogger(z), func() { _ = z.Sync() }
 }
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -1,15 +1,20 @@
 package observe
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/propagation"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
@@ -154,3 +159,60 @@
 	is.True(strings.Contains(w.text.String(), `"n":0`))
 	is.True(strings.Contains(w.text.String(), "log lines dropped"))
 }
+
+// Guards against a malformed response whose bytes are quoted in an error and fill
+// the log and the memory for lines that wait: one of 63 KiB became a line of 600 KB.
+func TestLongFieldsAreTruncated(t *testing.T) {
+	long := strings.Repeat("\x01", 63<<10) + "end"
+	for name, write := range map[string]func(logr.Logger){
+		"message":         func(l logr.Logger) { l.Info(long) },
+		"string":          func(l logr.Logger) { l.Info("m", "text", long) },
+		"error as string": func(l logr.Logger) { l.Info("m", "error", fmt.Errorf("malformed response %q", long).Error()) },
+		"error":           func(l logr.Logger) { l.Error(fmt.Errorf("malformed response %q", long), "m") },
+		"error field":     func(l logr.Logger) { l.Info("m", "reason", errors.New(long)) },
+		"named string":    func(l logr.Logger) { l.Info("m", "target", core.Target(long)) },
+		"logger's field":  func(l logr.Logger) { l.WithValues("text", long).Info("m") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			log, flush := NewBoundedLogger(&out)
+			write(log)
+			flush()
+			var line map[string]any
+			is.NoErr(json.Unmarshal(out.Bytes(), &line))
+			is.True(out.Len() < 8*maxTextBytes) // a control character takes six bytes in JSON
+			is.True(strings.Contains(out.String(), " bytes)"))
+		})
+	}
+}
+
+type pointerError struct{}
+
+func (*pointerError) Error() string { return "e" }
+
+// Guards against a logger that panics on a field without a value.
+func TestFieldsWithoutAValue(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, flush := NewBoundedLogger(&out)
+	log.Info("m", "none", nil, "error", error((*pointerError)(nil)), "name", core.Target(""), "list", []string{"a"})
+	flush()
+	is.True(strings.Contains(out.String(), `"list":["a"]`))
+}
+
+// Guards against a shortened text that isn't valid UTF-8, and against one that is
+// shortened although it isn't too long.
+func TestTruncate(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []int{0, 1, maxTextBytes - 1, maxTextBytes} {
+		s := strings.Repeat("x", length)
+		is.Equal(truncate(s), s)
+	}
+	s := truncate(strings.Repeat("ě", maxTextBytes/2+1))
+	is.True(utf8.ValidString(s))
+	is.Equal(s, strings.Repeat("ě", maxTextBytes/2)+"... (1026 bytes)")
+	s = truncate("x" + strings.Repeat("ě", maxTextBytes/2))
+	is.True(utf8.ValidString(s))
+	is.Equal(s, "x"+strings.Repeat("ě", maxTextBytes/2-1)+"... (1025 bytes)")
+}
