observe: bound the bytes of log lines that wait

Cause: up to 4096 lines wait for a reader of the log that is slow or stopped. Their number was bounded, their bytes weren't. Change: lines that wait and those being written hold 4 MiB at most. Others are dropped and counted, as over the rate limit. TestWaitingLinesAreBoundedInBytes failed before (12 MB waited, bound 4 MiB).

--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -23,6 +23,8 @@
 	// reader of the output is slow, lines are dropped instead of blocking the
 	// caller.
 	logRingCapacity = 4096
+	// maxWaitingBytes bounds the lines that wait, and those being written.
+	maxWaitingBytes = 4 << 20
 	// linesPerSecond allows about two lines for each request that a small VM
 	// serves; lineBurst allows the lines that are logged at startup.
 	linesPerSecond = 600
@@ -32,9 +34,9 @@
 )
 
 // NewBoundedLogger returns a logger that writes JSON lines to w from a
-// background goroutine. Lines over the rate limit or the capacity of the ring
-// are dropped, and their number is logged. The returned function writes the
-// remaining lines and stops the goroutine.
+// background goroutine. Lines over the rate limit, the capacity of the ring or the
+// bytes that may wait are dropped, and their number is logged. The returned function
+// writes the remaining lines and stops the goroutine.
 func NewBoundedLogger(w io.Writer) (logr.Logger, func()) {
 	b := &boundedWriter{
 		out: w, lines: ring.New[[]byte]("log", logRingCapacity, ring.Reject),
@@ -52,6 +54,8 @@
 	lines   *ring.Ring[[]byte]
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	// waiting counts the bytes of the lines that aren't written yet.
+	waiting atomic.Int64
 	once    sync.Once
 	stop    chan struct{}
 	done    chan struct{}
@@ -59,12 +63,25 @@
 
 // Write implements zapcore.WriteSyncer. It never blocks.
 func (b *boundedWriter) Write(line []byte) (int, error) {
-	if !b.limit.Allow() || b.lines.Put(context.Background(), bytes.Clone(line)) != nil {
+	if !b.put(line) {
 		b.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// put queues a line and reports whether there was room.
+func (b *boundedWriter) put(line []byte) bool {
+	if !b.limit.Allow() {
+		return false
+	}
+	n := int64(len(line))
+	if b.waiting.Add(n) <= maxWaitingBytes && b.lines.Put(context.Background(), bytes.Clone(line)) == nil {
+		return true
+	}
+	b.waiting.Add(-n)
+	return false
+}
+
 // Sync implements zapcore.WriteSyncer.
 func (b *boundedWriter) Sync() error { return nil }
 
@@ -93,6 +110,8 @@
 	for range b.lines.Len() {
 		buffer.Write(<-b.lines.C())
 	}
+	written := int64(buffer.Len())
+	defer func() { b.waiting.Add(-written) }()
 	if n := b.dropped.Swap(0); n > 0 {
 		fmt.Fprintf(buffer, "{\"level\":\"warn\",\"ts\":%q,\"msg\":\"log lines dropped\",\"count\":%d}\n", time.Now().Format(time.RFC3339Nano), n)
 	}
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -216,3 +216,32 @@
 	is.True(utf8.ValidString(s))
 	is.Equal(s, "x"+strings.Repeat("ě", maxTextBytes/2-1)+"... (1025 bytes)")
 }
+
+// Guards against lines that wait for a slow reader and take more and more memory:
+// the ring bounds their number only.
+func TestWaitingLinesAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	w := &blockingWriter{release: make(chan struct{})}
+	log, flush := NewBoundedLogger(w)
+	text := strings.Repeat("x", maxTextBytes)
+	for range lineBurst {
+		log.Info("line", "a", text, "b", text, "c", text, "d", text)
+	}
+	close(w.release)
+	flush()
+	is.True(w.text.Len() < maxWaitingBytes+10*maxTextBytes) // a line and the count of those dropped more
+	is.True(w.text.Len() > maxWaitingBytes/2)
+	is.True(strings.Contains(w.text.String(), "log lines dropped"))
+
+	// The bytes of lines that were written make room for others.
+	var out bytes.Buffer
+	log, flush = NewBoundedLogger(&out)
+	for range 3 {
+		for range maxWaitingBytes / maxTextBytes / 8 {
+			log.Info("line", "a", text, "b", text, "c", text, "d", text)
+		}
+		time.Sleep(2 * flushInterval)
+	}
+	flush()
+	is.True(!strings.Contains(out.String(), "log lines dropped"))
+}
