observe, command: log what libraries report within the log's bounds

Seen: a test of the transport printed 4 KiB of a peer's bytes for each response on an idle connection, past the log of the process. Cause: net/http reports a response that nobody waits for with the package log, which writes to the standard error output: no bound, no JSON, not counted. Change: the gateway passes these lines to its own log. TestUnsolicitedResponseIsLoggedWithinBounds failed before: no line arrived.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -34,6 +34,7 @@
 	}
 	log, flush := observe.NewBoundedLogger(c.out)
 	defer flush()
+	defer observe.CaptureStandardLog(log)()
 	o := node.Options{MetricsAddress: c.Metrics, TraceExporter: c.TraceExporter, TraceEndpoint: c.TraceEndpoint}
 	return runApp(fx.New(node.Module(s, p, o, log), fx.Options(c.options...)), s.StopTimeout)
 }
