mesh: bound requests and replies between VMs

Change: a reply of a Sync, of which a VM waits for one at a time, may hold 16 MiB; other replies and all requests 4 MiB. The largest append of the store is 2 MiB. TestEndlessReplyIsCutOff and TestEndlessRequestIsCutOff failed before: up to 64 MiB were taken, when the test stopped to send.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -16,24 +16,33 @@
 	"celeryhook.example/celeryhook/internal/transport"
 )
 
+const (
+	// maxMessageBytes bounds a request and a reply, other than that of Sync. The
+	// largest is an append, of which the store takes 2 MiB.
+	maxMessageBytes = 4 << 20
+	// maxCopyBytes bounds the reply of a Sync, which may hold a copy of all streams.
+	// A VM waits for one at a time.
+	maxCopyBytes = 16 << 20
+)
+
 // Client calls other VMs.
 type Client struct {
 	clock duty.Clock
-	http  *http.Client
+	// calls and syncs share their connections.
+	calls, syncs *http.Client
 }
 
 // NewClient returns a client that reuses its connections.
 func NewClient(clock duty.Clock) *Client {
 	// A VM has at most one call at a time to most others, and the source that it
 	// follows holds a Sync in addition.
-	return &Client{clock: clock, http: transport.NewClient(transport.Options{
-		DialTimeout: 300 * time.Millisecond, IdleTimeout: 10 * time.Second, MaxIdlePerHost: 2,
-	})}
+	c := transport.NewClient(transport.Options{DialTimeout: 300 * time.Millisecond, IdleTimeout: 10 * time.Second, MaxIdlePerHost: 2})
+	return &Client{clock: clock, calls: transport.LimitBodies(c, maxMessageBytes), syncs: transport.LimitBodies(c, maxCopyBytes)}
 }
 
 // rpc returns the RPC client of a member.
 func (c *Client) rpc(m roster.Member) meshpb.Mesh {
-	return meshpb.NewMeshProtobufClient("http://"+m.Address, c.http)
+	return meshpb.NewMeshProtobufClient("http://"+m.Address, c.calls)
 }
 
 // Peer implements replica.Peer and appends through another VM.
@@ -55,7 +64,7 @@
 		req.Have = append(req.Have, &meshpb.Position{Stream: uint32(h.Stream), Next: h.Next})
 	}
 	startedAt := p.client.clock()
-	reply, err := p.client.rpc(p.member).Sync(ctx, req)
+	reply, err := meshpb.NewMeshProtobufClient("http://"+p.member.Address, p.client.syncs).Sync(ctx, req)
 	if err != nil {
 		return replica.SyncReply{}, fmt.Errorf("mesh: sync with %s: %w", p.member.VM, err)
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +121,89 @@
 
 	is.Equal(len(evidenceFromPB([]*meshpb.CrashEvidence{{Request: []byte("short")}})), 0)
 }
+
+// endlessBody counts the bytes that are read of a body that doesn't end.
+type endlessBody struct{ read atomic.Int64 }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// Guards against a VM whose replies never end: they were read into memory until the
+// caller's timeout or its end.
+func TestEndlessReplyIsCutOff(t *testing.T) {
+	is := is.New(t)
+	const endOfTest = 64 << 20
+	var taken, status atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(int(status.Load()))
+		for b := make([]byte, 64<<10); taken.Load() < endOfTest; {
+			n, err := w.Write(b)
+			taken.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	to := roster.Member{VM: "v", Address: strings.TrimPrefix(server.URL, "http://")}
+	client := NewClient(duty.NewClock())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for name, c := range map[string]struct {
+		call  func() error
+		limit int64
+	}{
+		"sync":   {func() error { _, err := client.Peer(to).Sync(ctx, nil, time.Second); return err }, maxCopyBytes},
+		"append": {func() error { _, err := client.Peer(to).Append(ctx, replica.Owners, 0, nil); return err }, maxMessageBytes},
+		"settle": {func() error { _, err := client.QueryGrant(ctx, to, "t", 1); return err }, maxMessageBytes},
+		"report": {func() error { return client.SendEvidence(ctx, to, nil) }, maxMessageBytes},
+	} {
+		for _, code := range []int64{http.StatusOK, http.StatusInternalServerError} {
+			t.Run(fmt.Sprint(name, " status ", code), func(t *testing.T) {
+				is := is.New(t)
+				taken.Store(0)
+				status.Store(code)
+				is.True(c.call() != nil)
+				is.True(taken.Load() < c.limit+16<<20) // the buffers of the sockets
+			})
+		}
+	}
+	is.NoErr(ctx.Err())
+}
+
+// Guards against a VM whose requests never end: they were read into memory until the
+// end of the process that received them.
+func TestEndlessRequestIsCutOff(t *testing.T) {
+	is := is.New(t)
+	h := NewHandler(NewServer(duty.NewClock(), nil, nil, nil, nil, &fakeStore{}))
+	for _, method := range []string{"Sync", "Report", "Settle", "Append"} {
+		body := &endlessBody{}
+		r := httptest.NewRequest(http.MethodPost, meshpb.MeshPathPrefix+method, io.LimitReader(body, 64<<20))
+		r.Header.Set("Content-Type", "application/protobuf")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		is.True(w.Code >= http.StatusBadRequest)
+		is.True(body.read.Load() < 2*maxMessageBytes) // the limit and a read buffer
+	}
+}
+
+// Guards against a bound that rejects the largest append that the store takes.
+func TestLargestAppendThroughAnotherVM(t *testing.T) {
+	is := is.New(t)
+	const maxCallBytes = 2 << 20
+	s := &fakeStore{}
+	server := httptest.NewServer(NewHandler(NewServer(duty.NewClock(), nil, nil, nil, nil, s)))
+	defer server.Close()
+	peer := NewClient(duty.NewClock()).Peer(roster.Member{VM: "v", Address: strings.TrimPrefix(server.URL, "http://")})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var records []replica.Record
+	for range maxCallBytes / 1024 {
+		records = append(records, replica.Record{Key: "k", Value: make([]byte, 1024)})
+	}
+	_, err := peer.Append(ctx, replica.Owners, 5, records)
+	is.NoErr(err)
+	is.Equal(len(s.got), len(records))
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -38,6 +39,11 @@
 	return &Server{clock: clock, replica: r, assigner: assigner, renewer: renewer, suspects: suspects, store: store}
 }
 
+// NewHandler returns the HTTP handler of a server, which bounds requests.
+func NewHandler(s *Server) http.Handler {
+	return http.MaxBytesHandler(meshpb.NewMeshServer(s), maxMessageBytes)
+}
+
 // Sync implements meshpb.Mesh.
 func (s *Server) Sync(ctx context.Context, req *meshpb.SyncRequest) (*meshpb.SyncReply, error) {
 	have := make([]replica.Position, 0, len(req.Have))
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -20,7 +20,6 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/mesh"
-	"celeryhook.example/celeryhook/internal/mesh/meshpb"
 	"celeryhook.example/celeryhook/internal/observe"
 )
 
@@ -71,7 +70,7 @@
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
-	meshHandler := meshpb.NewMeshServer(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform))
+	meshHandler := mesh.NewHandler(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform))
 	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
 		return err
 	}
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -35,3 +35,25 @@
 	}
 	return fmt.Errorf("transport: read response body: %w", err)
 }
+
+// LimitBodies returns a client that uses the same connections and fails to read a
+// response body beyond limit bytes. It is for libraries that read bodies themselves.
+func LimitBodies(c *http.Client, limit int64) *http.Client {
+	limited := *c
+	limited.Transport = bodyLimit{next: c.Transport, limit: limit}
+	return &limited
+}
+
+type bodyLimit struct {
+	next  http.RoundTripper
+	limit int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l bodyLimit) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := l.next.RoundTrip(r)
+	if err == nil {
+		res.Body = http.MaxBytesReader(nil, res.Body, l.limit)
+	}
+	return res, err
+}
