--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against a malformed response whose bytes are quoted in an error and fill
-// the log and the memory for lines that wait: one of 63 KiB became a line of 600 KB.
+// the log and the memory for lines that wait: one of 63 KiB became a line of 323 KB.
 func TestLongFieldsAreTruncated(t *testing.T) {
 	long := strings.Repeat("\x01", 63<<10) + "end"
 	for name, write := range map[string]func(logr.Logger){
