app: bound the head of a response in the former entry VM

Cause: its calls to targets, VMs and the platform use a transport of their own, which had the default of net/http, 10 MB of head for each call. Change: 64 KiB, as for the heads of requests between VMs. TestEndlessHeadIsCutOff in internal/app failed before: over 128 KiB of a head without end were read.

--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -134,6 +134,7 @@
 	t.MaxIdleConns = 0
 	t.DisableCompression = true
 	t.IdleConnTimeout = 30 * time.Second
+	t.MaxResponseHeaderBytes = int64(internalLimits.HeaderBytes)
 	return t
 }
 
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -20,7 +20,8 @@
 	"celeryhook.example/celeryhook/internal/settings"
 )
 
-// internalLimits apply to the connections of other VMs and of operators.
+// internalLimits apply to the connections of other VMs and of operators. HeaderBytes
+// also applies to the responses that this VM gets.
 var internalLimits = settings.Callers{
 	HeaderTimeout: 5 * time.Second,
 	ReadTimeout:   30 * time.Second,
