--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -234,13 +234,19 @@
 	is.True(strings.Contains(w.text.String(), "log lines dropped"))
 
 	// The bytes of lines that were written make room for others.
-	var out bytes.Buffer
+	var out lockedBuffer
 	log, flush = NewBoundedLogger(&out)
-	for range 3 {
-		for range maxWaitingBytes / maxTextBytes / 8 {
+	const half = maxWaitingBytes / (8 * maxTextBytes) // lines of more than 4 KiB
+	for round := range 3 {
+		for range half {
 			log.Info("line", "a", text, "b", text, "c", text, "d", text)
 		}
-		time.Sleep(2 * flushInterval)
+		for deadline := time.Now().Add(time.Minute); strings.Count(out.String(), "\n") < (round+1)*half; {
+			if time.Now().After(deadline) {
+				t.Fatal("the lines aren't written")
+			}
+			time.Sleep(flushInterval / 10)
+		}
 	}
 	flush()
 	is.True(!strings.Contains(out.String(), "log lines dropped"))
