observe: keep the beginning of a long text that isn't UTF-8

Cause: to end at a rune, a text was shortened as far back as the last byte that can begin one. A text of continuation bytes only, as in garbled responses, was dropped altogether. Change: it goes back by the length of a rune at most. The list of fields is cloned without comparing addresses. TestTruncate failed before for such a text.

--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -201,8 +201,9 @@
 	is.True(strings.Contains(out.String(), `"list":["a"]`))
 }
 
-// Guards against a shortened text that isn't valid UTF-8, and against one that is
-// shortened although it isn't too long.
+// Guards against a shortened text that isn't valid UTF-8 although it was, against
+// one that is shortened although it isn't too long, and against bytes that aren't
+// UTF-8 and are lost altogether.
 func TestTruncate(t *testing.T) {
 	is := is.New(t)
 	for _, length := range []int{0, 1, maxTextBytes - 1, maxTextBytes} {
@@ -215,6 +216,7 @@
 	s = truncate("x" + strings.Repeat("ě", maxTextBytes/2))
 	is.True(utf8.ValidString(s))
 	is.Equal(s, "x"+strings.Repeat("ě", maxTextBytes/2-1)+"... (1025 bytes)")
+	is.True(len(truncate(strings.Repeat("\x80", 2*maxTextBytes))) > maxTextBytes)
 }
 
 // Guards against lines that wait for a slow reader and take more and more memory:
--- a/internal/observe/truncate.go
+++ b/internal/observe/truncate.go
@@ -39,18 +39,21 @@
 // truncateFields returns the fields with long texts shortened. It leaves its argument
 // unchanged.
 func truncateFields(fields []zapcore.Field) []zapcore.Field {
-	out := fields
+	var shortened []zapcore.Field
 	for i, f := range fields {
 		text := fieldText(f)
 		if len(text) <= maxTextBytes {
 			continue
 		}
-		if &out[0] == &fields[0] {
-			out = slices.Clone(fields)
+		if shortened == nil {
+			shortened = slices.Clone(fields)
 		}
-		out[i] = zap.String(f.Key, truncate(text))
+		shortened[i] = zap.String(f.Key, truncate(text))
 	}
-	return out
+	if shortened == nil {
+		return fields
+	}
+	return shortened
 }
 
 // fieldText returns the text of a string, an error or a Stringer, and "" for other
@@ -78,7 +81,7 @@
 		return s
 	}
 	end := maxTextBytes
-	for end > 0 && !utf8.RuneStart(s[end]) {
+	for end > maxTextBytes-utf8.UTFMax && !utf8.RuneStart(s[end]) {
 		end--
 	}
 	return fmt.Sprintf("%s... (%d bytes)", s[:end], len(s))
