--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -13,6 +13,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// LoadControl switches on the decisions of docs/design/hard-load.md: how callers
+	// share targets that can't serve all of them.
+	LoadControl bool
 }
 
 // Route sends the requests of a host under a path prefix to services.
@@ -58,6 +61,11 @@
 	// LongestRequest is the longest timeout of the routes that use the service. A
 	// Table sets it.
 	LongestRequest time.Duration
+	// Objective is the shortest latency objective of the routes that use the service,
+	// or 0. A Table sets it.
+	Objective time.Duration
+	// LoadControl is that of the configuration. A Table sets it.
+	LoadControl bool
 }
 
 // Limits bound what a caller may send. Zero means no limit.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -32,12 +32,16 @@
 		services: make(map[core.Service]Service, len(c.Services)),
 	}
 	for _, s := range c.Services {
+		s.LoadControl = c.LoadControl
 		t.services[s.Name] = s
 	}
 	for _, r := range c.Routes {
 		for _, b := range r.Backends {
 			if s, ok := t.services[b.Service]; ok {
 				s.LongestRequest = max(s.LongestRequest, r.Timeout)
+				if r.LatencyObjective > 0 && (s.Objective == 0 || r.LatencyObjective < s.Objective) {
+					s.Objective = r.LatencyObjective
+				}
 				t.services[b.Service] = s
 			}
 		}
