ownership: lost targets no longer hold up each other's keys

The leader asked every VM about every lost holder, 2,146 calls every 300 ms, more than it and its peers could answer. And each further record about a holder restarted the waits for all keys of that holder.

One message asks a VM about all lost holders, and holders that all VMs have answered for aren't asked again. A holder has an eviction for each end of the ledger, so that a later one doesn't restart the former. 768 instead of 256 moves run at a time, as lost targets leave many short ranges.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -136,12 +136,32 @@
 	return reply.Offset, nil
 }
 
-// QueryGrant asks a member until when a target may hold a grant that the member
-// renewed.
-func (c *Client) QueryGrant(ctx context.Context, to roster.Member, t core.Target, offset int64) (ownership.GrantQueryReply, error) {
-	reply, err := rpc(c.calls, to).Settle(ctx, &meshpb.SettleRequest{Target: string(t), Offset: offset})
+// QueryGrants asks a member until when holders may hold a grant that the member
+// renewed. The replies have the order of the questions, of which there is at least
+// one. A VM of an earlier version answers only the first.
+func (c *Client) QueryGrants(ctx context.Context, to roster.Member, evictions []ownership.Eviction) ([]ownership.GrantQueryReply, error) {
+	req := settleRequest(evictions[0])
+	for _, e := range evictions[1:] {
+		req.More = append(req.More, settleRequest(e))
+	}
+	reply, err := rpc(c.calls, to).Settle(ctx, req)
 	if err != nil {
-		return ownership.GrantQueryReply{}, fmt.Errorf("mesh: query grant at %s: %w", to.VM, err)
+		return nil, fmt.Errorf("mesh: query grants at %s: %w", to.VM, err)
+	}
+	if len(reply.More) > len(req.More) {
+		return nil, fmt.Errorf("mesh: query grants at %s: %d replies to %d questions", to.VM, 1+len(reply.More), len(evictions))
 	}
-	return ownership.GrantQueryReply{Applied: reply.Applied, Remaining: time.Duration(reply.RemainingMs) * time.Millisecond, NothingNewer: reply.Same}, nil
+	out := []ownership.GrantQueryReply{grantQueryReply(reply)}
+	for _, r := range reply.More {
+		out = append(out, grantQueryReply(r))
+	}
+	return out, nil
+}
+
+func settleRequest(e ownership.Eviction) *meshpb.SettleRequest {
+	return &meshpb.SettleRequest{Target: string(e.Holder.Target), Offset: e.Offset}
+}
+
+func grantQueryReply(r *meshpb.SettleReply) ownership.GrantQueryReply {
+	return ownership.GrantQueryReply{Applied: r.Applied, Remaining: time.Duration(r.RemainingMs) * time.Millisecond, NothingNewer: r.Same}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -157,7 +157,7 @@
 	}{
 		"sync":   {func() error { _, err := client.Peer(to).Sync(ctx, nil, time.Second); return err }, maxCopyBytes},
 		"append": {func() error { _, err := client.Peer(to).Append(ctx, replica.Owners, 0, nil); return err }, maxMessageBytes},
-		"settle": {func() error { _, err := client.QueryGrant(ctx, to, "t", 1); return err }, maxMessageBytes},
+		"settle": {func() error { _, err := client.QueryGrants(ctx, to, []ownership.Eviction{{Offset: 1}}); return err }, maxMessageBytes},
 		"report": {func() error { return client.SendEvidence(ctx, to, nil) }, maxMessageBytes},
 	} {
 		for _, code := range []int64{http.StatusOK, http.StatusInternalServerError} {
@@ -207,3 +207,36 @@
 	is.NoErr(err)
 	is.Equal(len(s.got), len(records))
 }
+
+// Guards against replies to several questions of one message that are lost or
+// assigned to another question.
+func TestSeveralGrantsInOneMessage(t *testing.T) {
+	is := is.New(t)
+	renewer := ring.New[ownership.Message]("renewer", 8, ring.Block)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	go func() {
+		for {
+			var q ownership.GrantQuery
+			select {
+			case m := <-renewer.C():
+				q = m.(ownership.GrantQuery)
+			case <-ctx.Done():
+				return
+			}
+			q.Reply <- ownership.GrantQueryReply{Applied: q.Target != "b", Remaining: time.Duration(q.Offset) * time.Second}
+		}
+	}()
+	server := httptest.NewServer(NewHandler(NewServer(duty.NewClock(), nil, nil, renewer, nil, &fakeStore{})))
+	defer server.Close()
+	to := roster.Member{VM: "v", Address: strings.TrimPrefix(server.URL, "http://")}
+	replies, err := NewClient(duty.NewClock()).QueryGrants(ctx, to, []ownership.Eviction{
+		{Holder: ownership.Holder{Target: "a"}, Offset: 1}, {Holder: ownership.Holder{Target: "b"}, Offset: 2}, {Holder: ownership.Holder{Target: "c"}, Offset: 3},
+	})
+	is.NoErr(err)
+	is.Equal(len(replies), 3)
+	for i, r := range replies {
+		is.Equal(r.Remaining, time.Duration(i+1)*time.Second)
+		is.Equal(r.Applied, i != 1)
+	}
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -128,8 +128,31 @@
 	}
 }
 
+// maxSettleQuestions bounds the questions of a Settle. A leader asks for the holders
+// of one deployment that don't respond.
+const maxSettleQuestions = 4096
+
 // Settle implements meshpb.Mesh.
 func (s *Server) Settle(ctx context.Context, req *meshpb.SettleRequest) (*meshpb.SettleReply, error) {
+	if len(req.More) >= maxSettleQuestions {
+		return nil, twirp.InvalidArgumentError("more", "too many questions")
+	}
+	reply, err := s.settle(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	for _, q := range req.More {
+		r, err := s.settle(ctx, q)
+		if err != nil {
+			return nil, err
+		}
+		reply.More = append(reply.More, r)
+	}
+	return reply, nil
+}
+
+// settle answers one question.
+func (s *Server) settle(ctx context.Context, req *meshpb.SettleRequest) (*meshpb.SettleReply, error) {
 	reply := make(chan ownership.GrantQueryReply, 1)
 	if err := s.renewer.PutBlocking(ctx, ownership.GrantQuery{Target: core.Target(req.Target), Offset: req.Offset, Reply: reply}); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -70,19 +70,21 @@
 	return sources[:min(len(sources), maxSources)]
 }
 
-// queryGrantExpiry sends a GrantQuery to each member. The assigner repeats it
-// for members without a reply.
+// queryGrantExpiry asks each member, in one message. The assigner repeats it for
+// members without a reply.
 func (n *Process) queryGrantExpiry(ctx context.Context, o ownership.QueryGrantExpiry) {
 	for _, m := range o.Members {
 		err := n.peers.Submit(ctx, func(ctx context.Context) {
 			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			r, err := n.mesh.QueryGrant(callCtx, m, o.Holder.Target, o.Offset)
+			replies, err := n.mesh.QueryGrants(callCtx, m, o.Evictions)
 			if err != nil {
 				n.metrics.Count("settles_failed")
 				return
 			}
-			_ = n.assignerRing.Put(ctx, ownership.GrantExpiry{Holder: o.Holder, Offset: o.Offset, VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
+			for i, r := range replies {
+				_ = n.assignerRing.Put(ctx, ownership.GrantExpiry{Eviction: o.Evictions[i], VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
+			}
 		})
 		if err != nil {
 			n.metrics.Count("settles_failed")
@@ -105,12 +107,12 @@
 			defer pending.Done()
 			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			switch r, err := n.mesh.QueryGrant(callCtx, m, "", o.Next+1); {
+			switch r, err := n.mesh.QueryGrants(callCtx, m, []ownership.Eviction{{Offset: o.Next + 1}}); {
 			case err != nil:
 				n.metrics.Count("settles_failed")
-			case r.NothingNewer:
+			case r[0].NothingNewer:
 				agreeing.Add(1)
-			case r.Applied:
+			case r[0].Applied:
 				newer.Add(1)
 			}
 		})
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -48,7 +48,7 @@
 	targetCount   map[core.Service]int
 	unreachableAt map[core.Target]core.Instant
 	moves         map[MoveID]*move
-	evictions     map[Holder]*eviction
+	evictions     map[Eviction]*eviction
 	loads         *loadReports
 	plannedAt     core.Instant
 	rebalancedAt  core.Instant
@@ -65,7 +65,7 @@
 		targetCount:   make(map[core.Service]int),
 		unreachableAt: make(map[core.Target]core.Instant),
 		moves:         make(map[MoveID]*move),
-		evictions:     make(map[Holder]*eviction),
+		evictions:     make(map[Eviction]*eviction),
 		loads:         newLoadReports(),
 		movedAt:       make(map[core.Service]*[Units]core.Instant),
 	}
@@ -141,7 +141,7 @@
 		return nil
 	}
 	a.leading = leads
-	a.moves, a.evictions = make(map[MoveID]*move), make(map[Holder]*eviction)
+	a.moves, a.evictions = make(map[MoveID]*move), make(map[Eviction]*eviction)
 	if leads {
 		a.syncMoves(now)
 	}
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -383,9 +383,11 @@
 
 func (v *simVM) queryGrantExpiry(incarnation int64, o QueryGrantExpiry) {
 	for _, m := range o.Members {
-		v.query(incarnation, m.VM, GrantQuery{Target: o.Holder.Target, Offset: o.Offset}, func(r GrantQueryReply) {
-			v.post(incarnation, GrantExpiry{Holder: o.Holder, Offset: o.Offset, VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
-		})
+		for _, e := range o.Evictions {
+			v.query(incarnation, m.VM, GrantQuery{Target: e.Holder.Target, Offset: e.Offset}, func(r GrantQueryReply) {
+				v.post(incarnation, GrantExpiry{Eviction: e, VM: m.VM, Applied: r.Applied, Remaining: r.Remaining})
+			})
+		}
 	}
 }
 
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -88,10 +88,9 @@
 
 // GrantExpiry is one VM's reply to a QueryGrantExpiry.
 type GrantExpiry struct {
-	Holder Holder
-	Offset int64
-	VM     core.VM
-	// Applied is set if the VM has applied the ledger up to Offset, so that it no
+	Eviction Eviction
+	VM       core.VM
+	// Applied is set if the VM has applied the ledger up to the offset, so that it no
 	// longer renews grants of older records.
 	Applied bool
 	// Remaining is how long a grant that the VM renewed may still last.
@@ -148,12 +147,18 @@
 	Handover string
 }
 
-// QueryGrantExpiry asks members until when a holder may hold a grant that they
-// renewed. Without a holder, it asks for all targets.
+// Eviction identifies the wait for the grants of a holder, or of all targets without
+// one. Offset is the end of the ledger when the wait began.
+type Eviction struct {
+	Holder Holder
+	Offset int64
+}
+
+// QueryGrantExpiry asks members until when the holders may hold a grant that the
+// members renewed by records before the offsets.
 type QueryGrantExpiry struct {
-	Holder  Holder
-	Offset  int64
-	Members []roster.Member
+	Evictions []Eviction
+	Members   []roster.Member
 }
 
 // Event is a state change to be logged.
--- a/internal/ownership/moves.go
+++ b/internal/ownership/moves.go
@@ -36,19 +36,27 @@
 	finishedAt core.Instant
 }
 
-// eviction is the state of a holder that keys are taken from.
-type eviction struct {
-	holder     Holder
-	recordedAt core.Instant
-	// offset is the end of the ledger when the newest of its moves was created. A
-	// VM that has applied the ledger up to it renews none of the old grants.
-	offset int64
+// evictedHolder is a holder that keys are taken from.
+type evictedHolder struct {
+	holder Holder
 	// unresponsive is set after a release without a response, and limits the
 	// holder to one release at a time.
 	unresponsive   bool
 	releasePending bool
 	retryAt        core.Instant
-	queriedAt      core.Instant
+}
+
+// eviction is the wait for the grants of a holder under the records before an
+// offset. A holder may have several evictions: one that restarted with each further
+// record would keep the keys of the first ones waiting, as when new owners are lost
+// one after the other.
+type eviction struct {
+	*evictedHolder
+	recordedAt core.Instant
+	// offset is the end of the ledger when the eviction began. A VM that has applied
+	// the ledger up to it renews none of the old grants.
+	offset    int64
+	queriedAt core.Instant
 	// appliedAt is when each VM last reported that it has applied the ledger up to
 	// offset, and grantsEndAt is when the grants that they renewed have expired.
 	appliedAt   map[core.VM]core.Instant
@@ -76,33 +84,43 @@
 			}
 		}
 	}
-	needed := make(map[Holder]bool)
+	needed := make(map[*eviction]bool)
 	for id, mv := range a.moves {
 		if !live[id] {
 			delete(a.moves, id)
 			continue
 		}
-		needed[mv.eviction.holder] = true
+		needed[mv.eviction] = true
 	}
-	for h := range a.evictions {
-		if !needed[h] {
-			delete(a.evictions, h)
+	for id, e := range a.evictions {
+		if !needed[e] {
+			delete(a.evictions, id)
 		}
 	}
 }
 
-// evictionOf returns the eviction of a moving unit's previous holder. A record
-// after the offset that the VMs were asked about restarts the waits.
+// evictionOf returns the eviction of a moving unit's previous holder: the oldest one
+// that covers the unit's record, or a new one.
 func (a *Assigner) evictionOf(now core.Instant, assignment Assignment) *eviction {
-	e := a.evictions[assignment.Previous]
-	if e == nil {
-		e = &eviction{holder: assignment.Previous, unresponsive: a.recentlyUnreachable(now, assignment.Previous.Target)}
-		a.evictions[assignment.Previous] = e
+	var holder *evictedHolder
+	var oldest *eviction
+	for id, e := range a.evictions {
+		if id.Holder != assignment.Previous {
+			continue
+		}
+		holder = e.evictedHolder
+		if assignment.Token <= e.offset && (oldest == nil || e.offset < oldest.offset) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		return oldest
 	}
-	if assignment.Token > e.offset {
-		e.recordedAt, e.offset = now, a.ledger.Next
-		e.appliedAt, e.grantsEndAt, e.majorityAt = make(map[core.VM]core.Instant), 0, 0
+	if holder == nil {
+		holder = &evictedHolder{holder: assignment.Previous, unresponsive: a.recentlyUnreachable(now, assignment.Previous.Target)}
 	}
+	e := &eviction{evictedHolder: holder, recordedAt: now, offset: a.ledger.Next, appliedAt: make(map[core.VM]core.Instant)}
+	a.evictions[Eviction{Holder: holder.holder, Offset: e.offset}] = e
 	return e
 }
 
@@ -119,19 +137,52 @@
 }
 
 func (a *Assigner) runMoves(now core.Instant) []Output {
-	var out []Output
-	for _, e := range a.evictions {
-		if e.unresponsive && now.Sub(e.queriedAt) >= expiryQueryInterval {
-			e.queriedAt = now
-			out = append(out, QueryGrantExpiry{Holder: e.holder, Offset: e.offset, Members: a.members.All()})
-		}
-	}
+	out := a.queryExpiries(now)
 	for _, mv := range a.sortedMoves() {
 		out = append(out, a.runMove(now, mv)...)
 	}
 	return out
 }
 
+// queryExpiries asks the members about the grants of all unresponsive holders in one
+// message for each member: with many lost targets and many VMs, one for each holder
+// and member takes the leader longer than the grants last.
+func (a *Assigner) queryExpiries(now core.Instant) []Output {
+	var due []Eviction
+	overdue := false
+	for id, e := range a.evictions {
+		if !e.unresponsive || a.allApplied(e) {
+			continue
+		}
+		since := now.Sub(e.queriedAt)
+		overdue = overdue || since >= expiryQueryInterval
+		if since >= expiryQueryInterval/2 {
+			due = append(due, id)
+		}
+	}
+	if !overdue {
+		return nil
+	}
+	slices.SortFunc(due, func(x, y Eviction) int {
+		return cmp.Or(cmp.Compare(x.Holder.Target, y.Holder.Target), cmp.Compare(x.Holder.StartedAt, y.Holder.StartedAt), cmp.Compare(x.Offset, y.Offset))
+	})
+	for _, id := range due {
+		a.evictions[id].queriedAt = now
+	}
+	return []Output{QueryGrantExpiry{Evictions: due, Members: a.members.All()}}
+}
+
+// allApplied reports whether all members have applied the ledger up to the offset
+// of an eviction, so that there is nothing left to ask.
+func (a *Assigner) allApplied(e *eviction) bool {
+	for _, m := range a.members.All() {
+		if e.appliedAt[m.VM] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *Assigner) runMove(now core.Instant, mv *move) []Output {
 	e := mv.eviction
 	if mv.stage == releasing && a.grantsExpired(now, e, a.ledger.GrantDuration()) {
@@ -182,11 +233,7 @@
 	if !e.unresponsive {
 		return false
 	}
-	all := true
-	for _, m := range a.members.All() {
-		all = all && e.appliedAt[m.VM] != 0
-	}
-	if all && !now.Before(e.grantsEndAt) {
+	if a.allApplied(e) && !now.Before(e.grantsEndAt) {
 		return true
 	}
 	if e.majorityAt == 0 {
@@ -233,11 +280,11 @@
 }
 
 func (a *Assigner) grantExpiry(now core.Instant, m GrantExpiry) []Output {
-	e := a.evictions[m.Holder]
-	if m.Holder.IsZero() {
+	e := a.evictions[m.Eviction]
+	if m.Eviction.Holder.IsZero() {
 		e = a.restoration.wait
 	}
-	if e == nil || m.Offset != e.offset || !m.Applied {
+	if e == nil || m.Eviction.Offset != e.offset || !m.Applied {
 		return nil
 	}
 	if e.appliedAt[m.VM] == 0 {
--- a/internal/ownership/restore.go
+++ b/internal/ownership/restore.go
@@ -117,7 +117,7 @@
 func (a *Assigner) confirmLedger(now core.Instant) []Output {
 	r := &a.restoration
 	if r.wait == nil {
-		r.wait = &eviction{unresponsive: true, recordedAt: now, offset: a.ledger.Next, appliedAt: make(map[core.VM]core.Instant)}
+		r.wait = &eviction{evictedHolder: &evictedHolder{unresponsive: true}, recordedAt: now, offset: a.ledger.Next, appliedAt: make(map[core.VM]core.Instant)}
 	}
 	if a.grantsExpired(now, r.wait, maxGrantDuration) {
 		if a.appendPending || now.Before(a.appendRetryAt) || !a.ledgerFresh(now) {
@@ -129,7 +129,7 @@
 		return nil
 	}
 	r.wait.queriedAt = now
-	return []Output{QueryGrantExpiry{Offset: r.wait.offset, Members: a.members.All()}}
+	return []Output{QueryGrantExpiry{Evictions: []Eviction{{Offset: r.wait.offset}}, Members: a.members.All()}}
 }
 
 // appendLedger writes the whole ledger, with new fencing tokens if they are asked
--- a/internal/ownership/timing.go
+++ b/internal/ownership/timing.go
@@ -63,7 +63,7 @@
 	expiryQueryInterval = 300 * time.Millisecond
 	maxGrantAttempts    = 4
 	// maxActiveMoves bounds the moves that are carried out concurrently.
-	maxActiveMoves = 256
+	maxActiveMoves = 768
 )
 
 // longestGrant returns the longest time for which a target may consider a grant
