ownership: level load by what a target can answer in time

With load control, a target's part shrinks with the part of the latency objective that its own service time takes, while the others have room; a unit with more load than any target can serve moves only to a much faster one.

--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -160,9 +160,10 @@
 			d = mean
 		}
 		c := &candidate{
-			holder:   holderOf(t),
-			capacity: float64(max(t.Slots, 1)) / d.Seconds(),
-			cold:     t.ColdUntil.After(now),
+			holder:      holderOf(t),
+			capacity:    float64(max(t.Slots, 1)) / d.Seconds(),
+			serviceTime: d,
+			cold:        t.ColdUntil.After(now),
 		}
 		if c.cold {
 			c.capacity *= coldCapacityFactor
@@ -170,6 +171,10 @@
 		r.candidates = append(r.candidates, c)
 		r.byID[t.ID] = c
 	}
+	if s := a.services[name]; s.LoadControl && s.Objective > 0 {
+		r.limitHotUnits = true
+		weighByHeadroom(r.candidates, s.Objective, r.totalLoad)
+	}
 	sort.Slice(r.candidates, func(i, j int) bool { return r.candidates[i].holder.Target < r.candidates[j].holder.Target })
 	if r.assignments != nil {
 		for ar := range r.assignments.Ranges() {
--- a/internal/ownership/rebalance.go
+++ b/internal/ownership/rebalance.go
@@ -24,6 +24,10 @@
 	// present owner's, as one hot key cannot be split.
 	hotUnitUtilisation      = 0.3
 	hotUnitUtilisationRatio = 0.75
+	// A unit with more load than its new owner can serve moves only if that owner is
+	// hotUnitSpeedup times as fast as the present one: its requests wait for the move
+	// and for the queue at the present owner, and are served no better afterwards.
+	hotUnitSpeedup = 1.5
 	// unitCooldown is how long a unit stays after a move, so that its load is
 	// first measured at the new owner.
 	unitCooldown = 4 * time.Second
@@ -54,6 +58,9 @@
 	totalLoad   float64
 	candidates  []*candidate
 	byID        map[core.Target]*candidate
+	// limitHotUnits is set if a unit that no target can serve moves only to a much
+	// faster target.
+	limitHotUnits bool
 }
 
 // candidate is a target that may own units.
@@ -61,9 +68,11 @@
 	holder Holder
 	// capacity is the load that keeps all slots busy, in requests per second.
 	capacity float64
-	load     float64
-	units    int
-	cold     bool
+	// serviceTime is the mean time of a request without queueing.
+	serviceTime time.Duration
+	load        float64
+	units       int
+	cold        bool
 }
 
 func (c *candidate) utilisation() float64 { return c.utilisationWith(0) }
@@ -259,6 +268,9 @@
 	if to == nil || to.utilisationWith(r.unitLoads[u]) > hotUnitUtilisationRatio*from.utilisation() {
 		return noRun, nil
 	}
+	if r.limitHotUnits && r.unitLoads[u] > to.capacity && from.capacity*hotUnitSpeedup > to.capacity {
+		return noRun, nil
+	}
 	return run{from: u, to: u, load: r.unitLoads[u]}, to
 }
 
