ingress: start pipelined requests when they arrive

Cause: net/http handles one request of a connection at a time, so that a pipelined request waits for the ones ahead of it before it is sent.

With load control, idempotent requests without a body are started when they arrive and answered in order, 8 at most on a connection. The connection is followed only up to its first request with a body. A stop closes a connection after the last response that is due.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,6 +33,8 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	readDeadline deadline
+	// pipeline follows the requests that arrive; nil if it isn't used.
+	pipeline *pipeline
 	// busy is set while a request is in progress on the connection.
 	busy atomic.Bool
 	// mu serialises the arrival of data and the decision to close an idle
@@ -88,6 +90,9 @@
 			if !c.markUsed() {
 				return
 			}
+			if c.pipeline != nil {
+				c.pipeline.feed(b[:n])
+			}
 			select {
 			case c.chunks <- b[:n]:
 			case <-c.done:
@@ -224,12 +229,15 @@
 
 // connContext starts reading ahead and returns a context that is cancelled when
 // the connection ends.
-func connContext(ctx context.Context, c net.Conn) context.Context {
+func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
 	n, ok := c.(*conn)
 	if !ok {
 		return ctx
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	if t := s.Routes.Table(); t != nil && t.LoadControl() {
+		n.pipeline = &pipeline{ctx: ctx, server: s}
+	}
 	n.startReading(cancel)
 	return context.WithValue(ctx, connKey{}, n)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -145,11 +145,15 @@
 }
 
 func newFixture(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
+	return newFixtureWith(t, false, do)
+}
+
+func newFixtureWith(t *testing.T, loadControl bool, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
 	f := &fixture{balancer: &balancer{}, exchanger: &exchanger{do: do}, quarantine: &suspects{}}
 	routes := &routing.ActiveTable{}
 	backend := []routing.Backend{{Service: "s", Weight: 1}}
 	routes.Apply(routing.Config{
-		Version: 1, Services: []routing.Service{{Name: "s"}, {Name: "sharded", Sharded: true}}, Limits: routing.Limits{BodyBytes: 1 << 20},
+		Version: 1, LoadControl: loadControl, Services: []routing.Service{{Name: "s"}, {Name: "sharded", Sharded: true}}, Limits: routing.Limits{BodyBytes: 1 << 20},
 		Routes: []routing.Route{
 			{Name: "safe", Host: "h", Prefix: "/safe/", Idempotent: true, Timeout: 2 * time.Second, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
 			{Name: "long", Host: "h", Prefix: "/long/", Timeout: time.Minute, LatencyObjective: time.Second, Backends: backend, MaxAttempts: 2},
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -66,8 +66,8 @@
 	waited    time.Duration
 }
 
-// serve handles one request.
-func (s *Server) serve(w http.ResponseWriter, httpRequest *http.Request) {
+// handle handles one request.
+func (s *Server) handle(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock()}
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -33,12 +33,22 @@
 // connection says so, also if the stop began while the request was in progress: the
 // caller's next request could meet the close.
 func (r *request) writeHead(status int) {
-	if r.plan.Load() != nil {
+	if r.plan.Load() != nil && !r.othersInProgress() {
 		r.w.Header().Set("Connection", "close")
 	}
 	r.w.WriteHeader(status)
 }
 
+// othersInProgress reports whether requests that the caller sent behind this one, or
+// ahead of it, are in progress on its connection.
+func (r *request) othersInProgress() bool {
+	if _, ahead := r.w.(*recordedResponse); ahead {
+		return true
+	}
+	c, _ := r.httpRequest.Context().Value(connKey{}).(*conn)
+	return c != nil && c.pipeline != nil && c.pipeline.pending()
+}
+
 // finishWithoutTarget responds to a request for which the balancer selected no
 // (further) target.
 func (r *request) finishWithoutTarget(last *attempt, d balance.Decision, err error) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -104,14 +104,14 @@
 	router.NoRoute(func(c *gin.Context) {
 		// Replaces the status 404 that gin sets for requests without a route.
 		c.Status(http.StatusOK)
-		s.serve(c.Writer, c.Request)
+		s.serveInOrder(c.Writer, c.Request)
 	})
 	s.server = &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       connContext,
+		ConnContext:       s.connContext,
 		ConnState:         s.trackConnState,
 	}
 	return s
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -12,10 +12,11 @@
 
 // Table finds routes and services of one configuration version.
 type Table struct {
-	version  int64
-	limits   Limits
-	hosts    map[string][]*Rule
-	services map[core.Service]Service
+	version     int64
+	loadControl bool
+	limits      Limits
+	hosts       map[string][]*Rule
+	services    map[core.Service]Service
 }
 
 // Rule is a route with the state that divides its requests among backends.
@@ -27,7 +28,7 @@
 // NewTable builds the table of a configuration.
 func NewTable(c Config) *Table {
 	t := &Table{
-		version: c.Version, limits: c.Limits,
+		version: c.Version, loadControl: c.LoadControl, limits: c.Limits,
 		hosts:    make(map[string][]*Rule),
 		services: make(map[core.Service]Service, len(c.Services)),
 	}
@@ -60,6 +61,9 @@
 // Limits returns the limits on callers' requests.
 func (t *Table) Limits() Limits { return t.limits }
 
+// LoadControl reports whether load control is on.
+func (t *Table) LoadControl() bool { return t.loadControl }
+
 // Service returns a service of the configuration.
 func (t *Table) Service(name core.Service) (Service, bool) {
 	s, ok := t.services[name]
