--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,7 +33,7 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	readDeadline deadline
-	// pipeline follows the requests that arrive; nil if it isn't used.
+	// pipeline follows the requests that arrive.
 	pipeline *pipeline
 	// busy is set while a request is in progress on the connection.
 	busy atomic.Bool
@@ -90,9 +90,7 @@
 			if !c.markUsed() {
 				return
 			}
-			if c.pipeline != nil {
-				c.pipeline.feed(b[:n])
-			}
+			c.pipeline.feed(b[:n])
 			select {
 			case c.chunks <- b[:n]:
 			case <-c.done:
@@ -235,9 +233,7 @@
 		return ctx
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	if t := s.Routes.Table(); t != nil && t.LoadControl() {
-		n.pipeline = &pipeline{ctx: ctx, server: s}
-	}
+	n.pipeline = &pipeline{ctx: ctx, server: s}
 	n.startReading(cancel)
 	return context.WithValue(ctx, connKey{}, n)
 }
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -31,10 +31,11 @@
 	ctx    context.Context
 	server *Server
 
-	// head holds the bytes of an incomplete head, and off is set once the connection
-	// isn't followed. Only the goroutine that reads the connection uses them.
-	head []byte
-	off  bool
+	// head holds the bytes of an incomplete head. used is set once bytes have arrived,
+	// and off once the connection isn't followed. Only the goroutine that reads the
+	// connection uses them.
+	head      []byte
+	used, off bool
 
 	mu sync.Mutex
 	// arrived, begun and ended count the connection's requests: those that have
@@ -53,6 +54,10 @@
 
 // feed adds bytes in the order in which they arrive on the connection.
 func (p *pipeline) feed(b []byte) {
+	if !p.used {
+		table := p.server.Routes.Table()
+		p.used, p.off = true, table == nil || !table.LoadControl()
+	}
 	if p.off {
 		return
 	}
@@ -198,7 +203,7 @@
 // serveInOrder answers a request in its turn.
 func (s *Server) serveInOrder(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	if c == nil || c.pipeline == nil {
+	if c == nil {
 		s.handle(w, r)
 		return
 	}
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -46,7 +46,7 @@
 		return true
 	}
 	c, _ := r.httpRequest.Context().Value(connKey{}).(*conn)
-	return c != nil && c.pipeline != nil && c.pipeline.pending()
+	return c != nil && c.pipeline.pending()
 }
 
 // finishWithoutTarget responds to a request for which the balancer selected no
