transport: only messages with a valid status are responses

A faulty target's response with status 000 reached its caller. net/http accepts any three characters that parse as a number, so that internal/upstream took 000, 099 and +20 for informational responses and read the content of their bodies as the next response, and passed on 600 to 999. It also ignored Content-Length and Transfer-Encoding of informational responses, in net/http's client as well: the body of such a message could confirm a grant or release.

HeadCheck validates heads as their bytes arrive, since net/http removes Transfer-Encoding before its callers see it. internal/upstream uses it for requests and health checks, and ValidateStatus adds it to the HTTP clients of orders, the store, the RPCs between VMs, the former entry VM and the operators' commands. It also compares the status with the one read since the request began, so that bytes that arrived earlier aren't its response.

--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -25,6 +25,7 @@
 	"celeryhook.example/celeryhook/internal/route"
 	"celeryhook.example/celeryhook/internal/settings"
 	"celeryhook.example/celeryhook/internal/target"
+	"celeryhook.example/celeryhook/internal/transport"
 	"celeryhook.example/celeryhook/internal/witness"
 )
 
@@ -126,7 +127,7 @@
 	}
 }
 
-func newTransport(d Dialer) *http.Transport {
+func newTransport(d Dialer) http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
 	t.DialContext = d.DialContext
@@ -135,7 +136,7 @@
 	t.DisableCompression = true
 	t.IdleConnTimeout = 30 * time.Second
 	t.MaxResponseHeaderBytes = int64(internalLimits.HeaderBytes)
-	return t
+	return transport.ValidateStatus(t)
 }
 
 // run starts a goroutine that stopDuties waits for.
--- a/internal/command/console.go
+++ b/internal/command/console.go
@@ -12,6 +12,7 @@
 	"celeryhook.example/celeryhook/internal/console"
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/settings"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 type consoleCommand struct {
@@ -44,7 +45,8 @@
 	if err != nil {
 		return "", nil, fmt.Errorf("console: listen on %s: %w", s.Address, err)
 	}
-	log := platformlog.NewHTTPLog(s.Platform, &http.Client{Timeout: 10 * time.Second})
+	t := transport.ValidateStatus(http.DefaultTransport.(*http.Transport).Clone())
+	log := platformlog.NewHTTPLog(s.Platform, &http.Client{Transport: t, Timeout: 10 * time.Second})
 	server := &http.Server{
 		Handler:           console.New(console.NewLogPolicyStore(log), s.Author),
 		ReadHeaderTimeout: 5 * time.Second,
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -22,6 +22,9 @@
 	maxResponseBytes = 8 << 20
 )
 
+// vmClient follows redirects, unlike the clients of the gateway: it only reads.
+var vmClient = &http.Client{Transport: transport.ValidateStatus(http.DefaultTransport.(*http.Transport).Clone())}
+
 // errUnreadable means that a VM's response can't be decoded.
 var errUnreadable = errors.New("no readable answer")
 
@@ -45,7 +48,7 @@
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
 	r.Header.Set("Accept", "application/json")
-	res, err := http.DefaultClient.Do(r)
+	res, err := vmClient.Do(r)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
--- a/internal/command/policy.go
+++ b/internal/command/policy.go
@@ -12,6 +12,7 @@
 
 	"celeryhook.example/celeryhook/internal/platformlog"
 	"celeryhook.example/celeryhook/internal/policy"
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 // platformFlags are the options of commands that use the platform.
@@ -24,9 +25,9 @@
 	if f.Platform == "" {
 		return nil, &exitError{ExitUsage, errors.New("--platform is missing")}
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	return platformlog.NewHTTPLog(f.Platform, &http.Client{Transport: transport}), nil
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	return platformlog.NewHTTPLog(f.Platform, &http.Client{Transport: transport.ValidateStatus(t)}), nil
 }
 
 // readHistory reads the log to its end and calls visit for each event.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,11 +23,12 @@
 	MaxIdlePerHost           int
 }
 
-// NewClient returns a client that doesn't follow redirects: the response of another
-// address says nothing about a call to this one.
+// NewClient returns a client that accepts only valid statuses (ValidateStatus) and
+// doesn't follow redirects: the response of another address says nothing about a call
+// to this one.
 func NewClient(o Options) *http.Client {
 	return &http.Client{
-		Transport:     New(o),
+		Transport:     ValidateStatus(New(o)),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -61,7 +61,7 @@
 	ErrTurnedAway = fmt.Errorf("%w: turned away", ErrNotSent)
 	// ErrConnRefused: nothing accepts connections at the address.
 	ErrConnRefused = errors.New("upstream: connection refused")
-	// ErrIncomplete: the response is truncated or malformed.
+	// ErrIncomplete: the response is truncated or malformed, or its status isn't one.
 	ErrIncomplete = errors.New("upstream: answer incomplete")
 	// ErrConnectionLost: the connection ended before a response began.
 	ErrConnectionLost = errors.New("upstream: connection broken")
@@ -143,21 +143,31 @@
 	return nil, false, fmt.Errorf("%w: only responses to other requests", ErrIncomplete)
 }
 
-// read reads one response. It returns nil for a response to another request and
-// for an informational one.
-func (c *Client) read(cn *conn, r *Request) (*Response, bool, error) {
-	switch err := cn.beginHead(); {
-	case errors.Is(err, errTooLong):
-		return nil, false, fmt.Errorf("%w: header: %w", ErrIncomplete, err)
-	case err != nil:
-		return nil, false, fmt.Errorf("%w: %w", ErrConnectionLost, err)
+// readHead reads the head of a response and skips informational responses before it.
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	for range transport.MaxInformational + 1 {
+		switch err := cn.beginHead(); {
+		case errors.Is(err, errTooLong), errors.Is(err, transport.ErrNoResponse):
+			return nil, fmt.Errorf("%w: header: %w", ErrIncomplete, err)
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w", ErrConnectionLost, err)
+		}
+		res, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("%w: header: %w", ErrIncomplete, err)
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
 	}
-	res, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+	return nil, fmt.Errorf("%w: over %d informational responses", ErrIncomplete, transport.MaxInformational)
+}
+
+// read reads one response. It returns nil for a response to another request.
+func (c *Client) read(cn *conn, r *Request) (*Response, bool, error) {
+	res, err := cn.readHead(r.Method)
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: header: %w", ErrIncomplete, err)
-	}
-	if res.StatusCode < http.StatusOK {
-		return nil, false, nil
+		return nil, false, err
 	}
 	cn.limit.remaining = maxResponseBytes + maxFramingBytes
 	body, err := c.memory.readBody(res.Body)
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"sync/atomic"
+
+	"celeryhook.example/celeryhook/internal/transport"
 )
 
 const (
@@ -37,6 +39,7 @@
 	net.Conn
 	remaining int64
 	head      headLines
+	status    transport.HeadCheck
 }
 
 // Read implements net.Conn.
@@ -46,18 +49,28 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.remaining)])
 	c.remaining -= int64(n)
-	if err := c.head.add(b[:n]); err != nil {
+	if err := c.checkHead(b[:n]); err != nil {
 		return 0, err
 	}
 	return n, err
 }
 
-// beginHead starts to count the lines of the next head, of which a part may be
-// buffered, and waits for its first byte.
+// checkHead checks the next bytes of a head and ignores those behind it.
+func (c *limitedConn) checkHead(b []byte) error {
+	if err := c.head.add(b); err != nil {
+		return err
+	}
+	_, err := c.status.Check(b)
+	return err
+}
+
+// beginHead starts to count the lines and to validate the status of the next head, of
+// which a part may be buffered, and waits for its first byte.
 func (c *conn) beginHead() error {
 	c.limit.head = headLines{}
+	c.limit.status.Begin()
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never more than there is
-	if err := c.limit.head.add(buffered); err != nil {
+	if err := c.limit.checkHead(buffered); err != nil {
 		return err
 	}
 	_, err := c.reader.Peek(1)
