command: config check examines a configuration before it is written

An operator learned of a fault in the platform's configuration only when VMs rejected it, and never of entries without effect. `celeryhook config check FILE [--against FILE]` shows all errors for which VMs reject it, entries that can never match, limits that contradict each other and the differences from another version. Exit code 0 without findings, 1 with some, 2 if a file isn't readable.

Differences are no findings, since a new version always has some; a version that isn't above the other is one.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -50,6 +50,7 @@
 	addCommand(parser, "standin-target", "Run a target's stand-in", "Runs a stand-in of a target for trials.", &targetCommand{streams: s})
 	addPolicy(parser, s)
 	addDomain(parser, s)
+	addConfig(parser, s)
 	_, err := parser.ParseArgs(args)
 	var flagError *flags.Error
 	switch {
