loadview: exchange of observations of the targets through the leader

A VM sends a given target one request every few seconds in a large deployment, so that its own estimates are about a minute old, and a hot key is sent to its target by all VMs at once. With load control, the VMs now report demand, service times and load reports to the leader, which replies with an aggregate over all VMs and divides the capacity of saturated targets in proportion to the demand of each VM. Without load control, no message, interval or decision changes.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -61,6 +61,7 @@
 	work         workEstimates
 	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
+	exchange     exchange
 }
 
 // New returns a balancer for a VM in the given failure domain.
@@ -98,6 +99,8 @@
 		b.limits = m.Limits
 	case LoadReportRequest:
 		return []Output{LoadReportReply{To: m.Reply, Load: b.loadReport(now)}}
+	case ObservationsRequest, DigestChanged:
+		return b.stepExchange(now, m)
 	case Tick:
 		return b.startProbes(now)
 	}
@@ -169,6 +172,7 @@
 		}
 	}
 	t, d := b.choose(now, req, service)
+	b.countDemand(t, d)
 	if t == nil {
 		return d
 	}
@@ -193,7 +197,7 @@
 	}
 	occupancy := t.occupancy(now)
 	t.inFlight++
-	t.rateLimiter.take(now)
+	b.countSent(now, t)
 	return Decision{
 		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age,
 		Target: Target{ID: t.ID, Address: t.Address, StartedAt: t.StartedAt, MaxConnections: b.connections(service)},
@@ -381,6 +385,7 @@
 	}
 	t.inFlight = max(0, t.inFlight-1)
 	t.recordLoad(now, m.Load)
+	b.countResult(now, t, m)
 	return append(b.recordAnnouncement(now, t, m.Announced, m.Elapsed), b.recordResult(now, t, m)...)
 }
 
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -5,6 +5,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/roster"
 	"celeryhook.example/celeryhook/internal/routing"
@@ -197,19 +198,40 @@
 // be buffered.
 type LoadReportRequest struct{ Reply chan<- ownership.LoadReport }
 
+// ObservationsRequest requests this VM's observations of the targets since the last
+// request. Reply must be buffered.
+type ObservationsRequest struct{ Reply chan<- Observations }
+
+// Observations is the reply to an ObservationsRequest.
+type Observations struct {
+	// Report is for the leader. The sender sets its VM and Incarnation.
+	Report loadview.Report
+	// Unreachable lists the targets of sharded services that this VM can't connect to.
+	Unreachable []core.Target
+}
+
+// DigestChanged carries a digest of the leader. AsOf is when the report was sent to
+// which it replies.
+type DigestChanged struct {
+	Digest loadview.Digest
+	AsOf   core.Instant
+}
+
 // Tick is sent at a regular interval and starts the probes that are due.
 type Tick struct{}
 
-func (SelectTarget) message()      {}
-func (AttemptDone) message()       {}
-func (ProbeDone) message()         {}
-func (TargetsChanged) message()    {}
-func (OwnersChanged) message()     {}
-func (ServicesChanged) message()   {}
-func (MembersChanged) message()    {}
-func (LimitsChanged) message()     {}
-func (LoadReportRequest) message() {}
-func (Tick) message()              {}
+func (SelectTarget) message()        {}
+func (AttemptDone) message()         {}
+func (ProbeDone) message()           {}
+func (TargetsChanged) message()      {}
+func (OwnersChanged) message()       {}
+func (ServicesChanged) message()     {}
+func (MembersChanged) message()      {}
+func (LimitsChanged) message()       {}
+func (LoadReportRequest) message()   {}
+func (ObservationsRequest) message() {}
+func (DigestChanged) message()       {}
+func (Tick) message()                {}
 
 // Output is an action that the balancer requests.
 type Output interface{ output() }
@@ -259,6 +281,12 @@
 	Load ownership.LoadReport
 }
 
+// ObservationsReply is the reply to an ObservationsRequest.
+type ObservationsReply struct {
+	To           chan<- Observations
+	Observations Observations
+}
+
 // Event is a change of a target's state, for the log.
 type Event struct {
 	Text   string
@@ -272,4 +300,5 @@
 func (MalformedAnnouncement) output() {}
 func (ColdStartReported) output()     {}
 func (LoadReportReply) output()       {}
+func (ObservationsReply) output()     {}
 func (Event) output()                 {}
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -106,14 +106,20 @@
 	return divideLimit(t.announced.RateLimit, t.rank, users, members)
 }
 
-// withinRateLimit reports whether the target's rate limit, if it names one,
-// allows this VM to send a request.
+// withinRateLimit reports whether the target's rate limit, if it names one, and the
+// admission of a saturated target allow this VM to send a request.
 func (b *Balancer) withinRateLimit(now core.Instant, t *target) bool {
+	if !b.admitted(now, t) {
+		return false
+	}
 	return t.announced.RateLimit <= 0 || t.rateLimiter.ready(now, b.limitPart(t))
 }
 
-// rejectLimited rejects a request because of the target's rate limit.
+// rejectLimited rejects a request because of the target's rate limit or admission.
 func (b *Balancer) rejectLimited(now core.Instant, t *target) Decision {
+	if !b.admitted(now, t) {
+		return b.rejectAdmission(now, t)
+	}
 	d := b.rejectOverloaded(now, t, "rate-limit")
 	d.RetryAfter = min(max(t.rateLimiter.nextToken(b.limitPart(t)), minRetryAfter), maxRetryAfter)
 	return d
--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -8,6 +8,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/quarantine"
@@ -89,7 +90,18 @@
 // against requests that crash targets, which has the given digest, with that of the
 // receiver.
 func (c *Client) Report(ctx context.Context, to roster.Member, l ownership.LoadReport, evidence []quarantine.Evidence, digest uint64) (quarantine.CompareReply, error) {
-	req := &meshpb.LoadReport{Vm: string(l.VM), Evidence: evidenceToPB(evidence), EvidenceDigest: digest, Compare: true}
+	reply, _, err := c.ReportWithObservations(ctx, to, l, evidence, digest, nil)
+	return reply, err
+}
+
+// ReportWithObservations is Report with observations of the targets, or nil. It also
+// returns the leader's digest, which is nil if the receiver has none.
+func (c *Client) ReportWithObservations(
+	ctx context.Context, to roster.Member, l ownership.LoadReport, evidence []quarantine.Evidence, digest uint64, observations *loadview.Report,
+) (quarantine.CompareReply, *loadview.Digest, error) {
+	req := &meshpb.LoadReport{
+		Vm: string(l.VM), Evidence: evidenceToPB(evidence), EvidenceDigest: digest, Compare: true, Observations: observationsToPB(observations),
+	}
 	for s, units := range l.UnitLoads {
 		sv := &meshpb.ServiceLoad{Service: string(s)}
 		for u, rate := range units {
@@ -105,9 +117,9 @@
 	}
 	reply, err := rpc(c.calls, to).Report(ctx, req)
 	if err != nil {
-		return quarantine.CompareReply{}, fmt.Errorf("mesh: report to %s: %w", to.VM, err)
+		return quarantine.CompareReply{}, nil, fmt.Errorf("mesh: report to %s: %w", to.VM, err)
 	}
-	return quarantine.CompareReply{Evidence: evidenceFromPB(reply.Evidence), Different: reply.Different}, nil
+	return quarantine.CompareReply{Evidence: evidenceFromPB(reply.Evidence), Different: reply.Different}, digestFromPB(reply.Digest), nil
 }
 
 // SendEvidence sends evidence against requests that crash targets to another VM.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -10,6 +10,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/mesh/meshpb"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/quarantine"
@@ -28,6 +29,8 @@
 	renewer  *ring.Ring[ownership.Message]
 	suspects *ring.Ring[quarantine.Message]
 	store    replica.Store
+	// loadview is nil if observations aren't aggregated.
+	loadview *ring.Ring[loadview.Message]
 }
 
 // NewServer returns a server that passes requests to the duties over their rings
@@ -39,6 +42,12 @@
 	return &Server{clock: clock, replica: r, assigner: assigner, renewer: renewer, suspects: suspects, store: store}
 }
 
+// WithLoadView sets the ring of the aggregator for observations and returns the server.
+func (s *Server) WithLoadView(r *ring.Ring[loadview.Message]) *Server {
+	s.loadview = r
+	return s
+}
+
 // NewHandler returns the HTTP handler of a server, which bounds requests.
 func NewHandler(s *Server) http.Handler {
 	return http.MaxBytesHandler(meshpb.NewMeshServer(s), maxMessageBytes)
@@ -85,6 +94,7 @@
 		VM:          core.VM(req.Vm),
 		UnitLoads:   make(map[core.Service]map[int]float64),
 		ServiceTime: make(map[core.Target]time.Duration),
+		Partial:     req.Partial,
 	}
 	for _, sv := range req.Services {
 		units := make(map[int]float64, len(sv.Units))
@@ -99,12 +109,20 @@
 	for _, t := range req.Unreachable {
 		load.Unreachable = append(load.Unreachable, core.Target(t))
 	}
-	if len(load.UnitLoads)+len(load.ServiceTime)+len(load.Unreachable) > 0 {
+	if req.Partial || len(load.UnitLoads)+len(load.ServiceTime)+len(load.Unreachable) > 0 {
 		if err := s.assigner.PutBlocking(ctx, load); err != nil {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
 	}
-	return s.reportEvidence(ctx, req)
+	digest := s.digest(ctx, req)
+	if req.Partial {
+		return &meshpb.ReportReply{Digest: digest}, nil
+	}
+	reply, err := s.reportEvidence(ctx, req)
+	if err == nil {
+		reply.Digest = digest
+	}
+	return reply, err
 }
 
 // reportEvidence handles the part of a report on requests that crash targets.
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -7,6 +7,7 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
@@ -132,6 +133,7 @@
 	_ = n.renewerRing.Put(ctx, m)
 	_ = n.assignerRing.Put(ctx, m)
 	if len(c.Records) > 0 {
+		_ = n.exchange.ring.Put(ctx, loadview.LeaderChanged{Leader: view.Leader})
 		_ = n.balanceRing.Put(ctx, balance.OwnersChanged{View: view})
 	}
 }
@@ -189,6 +191,8 @@
 		o.To <- o.Decision
 	case balance.LoadReportReply:
 		o.To <- o.Load
+	case balance.ObservationsReply:
+		o.To <- o.Observations
 	case balance.Event:
 		n.log.Info(o.Text, o.Fields...)
 	case balance.TargetUnreachable:
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -70,7 +70,8 @@
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
-	meshHandler := mesh.NewHandler(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform))
+	meshServer := mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform).WithLoadView(n.exchange.ring)
+	meshHandler := mesh.NewHandler(meshServer)
 	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
 		return err
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/replica"
@@ -127,7 +128,8 @@
 }
 
 // report sends this VM's load report to the leader's assigner, and compares the
-// evidence against requests that crash targets.
+// evidence against requests that crash targets. With load control it also sends the
+// observations of the targets.
 func (n *Process) report(ctx context.Context) {
 	reply := make(chan ownership.LoadReport, 1)
 	if n.balanceRing.Put(ctx, balance.LoadReportRequest{Reply: reply}) != nil {
@@ -140,21 +142,30 @@
 		return
 	}
 	load.VM = n.self.VM
-	owners, members := n.owners.Load(), n.members.Load()
-	if owners == nil || members == nil {
+	to, isSelf, ok := n.leader()
+	if !ok {
 		return
 	}
-	if owners.Leader.VM == n.self.VM {
+	observations, exchanged := n.observations(ctx)
+	n.exchange.reported, n.exchange.unreachable = len(observations.Report.Observations) > 0, load.Unreachable
+	asOf := n.clock()
+	if isSelf {
 		_ = n.assignerRing.Put(ctx, load)
+		if exchanged {
+			n.aggregateOwn(ctx, asOf, observations.Report)
+		}
 		return
 	}
-	to, ok := members.Member(owners.Leader.VM)
-	if !ok {
-		return
+	var sent *loadview.Report
+	if exchanged {
+		sent = &observations.Report
 	}
-	if err := n.compareEvidence(ctx, to, load); err != nil {
+	digest, err := n.compareEvidence(ctx, to, load, sent)
+	if err != nil {
 		n.metrics.Count("reports_failed")
+		return
 	}
+	n.takeDigest(ctx, asOf, digest)
 }
 
 func (n *Process) tickRoster(ctx context.Context) {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -15,6 +15,7 @@
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ingress"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/ownership"
@@ -85,6 +86,7 @@
 	assignerRing   *ring.Ring[ownership.Message]
 	renewerRing    *ring.Ring[ownership.Message]
 	quarantineRing *ring.Ring[quarantine.Message]
+	exchange       loadExchange
 	readers        [replica.NumStreams]*replica.Reader
 	follower       *replica.Follower
 	orders         *duty.Pool
@@ -125,6 +127,7 @@
 		peers:          duty.NewPool("peers", peerWorkers, poolRingSize),
 		appends:        duty.NewPool("appends", 2, poolRingSize),
 	}
+	n.exchange = n.newLoadExchange()
 	n.pool = upstream.NewPool(func() { m.Count("connections_opened") })
 	n.client = upstream.NewClient(n.pool, p.Headers())
 	n.mesh = mesh.NewClient(clock)
@@ -158,6 +161,8 @@
 	go duty.New("assigner", n.clock, n.assignerRing, assigner, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("keeper", n.clock, n.renewerRing, ownership.NewRenewer(n.clock()), n.emitRenewer, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("quarantine", n.clock, n.quarantineRing, quarantine.NewDuty(), n.emitQuarantine, quarantine.Message(quarantine.Tick{}), quarantineTickInterval).Run(ctx)
+	aggregator := loadview.NewAggregator(ownership.Leader{VM: n.self.VM, Incarnation: n.self.Incarnation})
+	go duty.New("loadview", n.clock, n.exchange.ring, aggregator, n.emitLoadView, loadview.Message(loadview.Tick{}), tickInterval).Run(ctx)
 	for _, r := range n.readers {
 		go r.Run(ctx)
 	}
@@ -167,7 +172,7 @@
 			go p.Run(ctx)
 		}
 	}
-	n.runEvery(ctx, reportInterval, n.report)
+	go n.runReports(ctx)
 	n.runEvery(ctx, cleanupInterval, func(context.Context) {
 		n.pool.CloseExpired()
 		n.removeExpiredChecks()
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/loadview"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -108,8 +109,11 @@
 }
 
 // compareEvidence sends a load report to the leader, with this VM's evidence if
-// the leader lacked some at the last report.
-func (n *Process) compareEvidence(ctx context.Context, to roster.Member, load ownership.LoadReport) error {
+// the leader lacked some at the last report, and this VM's observations or nil. It
+// returns the leader's digest, if any.
+func (n *Process) compareEvidence(
+	ctx context.Context, to roster.Member, load ownership.LoadReport, observations *loadview.Report,
+) (*loadview.Digest, error) {
 	var evidence []quarantine.Evidence
 	if n.evidenceDiffers.Swap(false) {
 		evidence = n.allEvidence(ctx)
@@ -120,15 +124,15 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	reply, err := n.mesh.Report(callCtx, to, load, evidence, digest)
+	reply, view, err := n.mesh.ReportWithObservations(callCtx, to, load, evidence, digest, observations)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	n.evidenceDiffers.Store(reply.Different)
 	if len(reply.Evidence) > 0 {
 		_ = n.quarantineRing.Put(ctx, quarantine.EvidenceReceived{Evidence: reply.Evidence})
 	}
-	return nil
+	return view, nil
 }
 
 // allEvidence returns this VM's evidence.
--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -39,6 +39,14 @@
 	byVM map[core.VM]receivedReport
 	// units holds the estimated requests per second of each unit.
 	units map[core.Service]*[Units]float64
+	// measured holds the service times over the samples of all VMs; only with load
+	// control.
+	measured measuredTimes
+}
+
+type measuredTimes struct {
+	times map[core.Target]time.Duration
+	at    core.Instant
 }
 
 type receivedReport struct {
@@ -51,12 +59,18 @@
 }
 
 func (l *loadReports) add(now core.Instant, m LoadReport) {
+	if last, ok := l.byVM[m.VM]; ok && m.Partial {
+		m.UnitLoads, m.ServiceTime = last.UnitLoads, last.ServiceTime
+	}
 	l.byVM[m.VM] = receivedReport{LoadReport: m, receivedAt: now}
 	for vm, r := range l.byVM {
 		if now.Sub(r.receivedAt) > loadReportTTL {
 			delete(l.byVM, vm)
 		}
 	}
+	if now.Sub(l.measured.at) > loadReportTTL {
+		l.measured.times = nil
+	}
 }
 
 // reported returns the sum of the latest reports of the VMs.
@@ -118,9 +132,12 @@
 	return out
 }
 
-// meanServiceTime returns the mean over the VMs that measured a target, or 0 if
-// none did.
+// meanServiceTime returns the mean over the samples of all VMs for a target or, if
+// they aren't known, the mean over the VMs that measured it. It is 0 if none did.
 func (l *loadReports) meanServiceTime(t core.Target) time.Duration {
+	if d := l.measured.times[t]; d > 0 {
+		return d
+	}
 	var sum time.Duration
 	n := 0
 	for _, r := range l.byVM {
