--- a/internal/balance/exchange_test.go
+++ b/internal/balance/exchange_test.go
@@ -65,7 +65,6 @@
 	vms        []*Balancer
 	aggregator *loadview.Aggregator
 	leader     ownership.Leader
-	owners     *ownership.View
 	target     *simulatedTarget
 	random     *rand.Rand
 	// demand is the requests per second of each VM, and silent the VMs that have
--- a/internal/loadview/target.go
+++ b/internal/loadview/target.go
@@ -269,7 +269,7 @@
 	available := t.available(now)
 	share := available * min(1, own/t.total.demand)
 	if t.limit > 0 {
-		// The sum of the shares must not exceed an announced limit.
+		// A boost could exceed an announced limit.
 		return share
 	}
 	boost := maxBoost
