--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -59,6 +59,7 @@
 type vm struct {
 	name, zone                   string
 	callers, ready, mesh, config string
+	metrics                      string
 	app                          *fx.App
 }
 
@@ -114,7 +115,7 @@
 }
 
 func (d *deployment) vm(name, zone string) *vm {
-	v := &vm{name: name, zone: zone, callers: freeAddress(d.t), ready: freeAddress(d.t), mesh: freeAddress(d.t), config: filepath.Join(d.t.TempDir(), "settings.json")}
+	v := &vm{name: name, zone: zone, metrics: freeAddress(d.t), callers: freeAddress(d.t), ready: freeAddress(d.t), mesh: freeAddress(d.t), config: filepath.Join(d.t.TempDir(), "settings.json")}
 	var seeds []string
 	for _, o := range d.vms {
 		seeds = append(seeds, o.mesh)
@@ -132,7 +133,7 @@
 func (d *deployment) start(v *vm) {
 	p, s, err := platform.Open(v.config)
 	is.New(d.t).NoErr(err)
-	v.app = fx.New(node.Module(s, p, node.Options{TraceExporter: "none"}, logr.Discard()))
+	v.app = fx.New(node.Module(s, p, node.Options{TraceExporter: "none", MetricsAddress: v.metrics}, logr.Discard()))
 	is.New(d.t).NoErr(v.app.Start(context.Background()))
 }
 
--- a/standin/wire/operator.go
+++ b/standin/wire/operator.go
@@ -45,8 +45,10 @@
 type Route struct {
 	Name, Prefix string
 	// Unsafe requests must run at most once.
-	Unsafe  bool
-	Service string
+	Unsafe bool
+	// Download is set for requests with large responses, which may run more than once.
+	Download bool
+	Service  string
 }
 
 // ServiceOptions configure a service on all VMs.
@@ -74,6 +76,8 @@
 		kind, priority := "safe", 2
 		if r.Unsafe {
 			kind, priority = "unsafe", 1
+		} else if r.Download {
+			kind = "download"
 		}
 		routes.Rows = append(routes.Rows, []any{r.Name, Host, r.Prefix, kind, milliseconds(c.Timeout), "1s", priority, 2, r.Service})
 	}
