--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -35,16 +35,6 @@
 	// unavailableRetryAfter is the retry delay when no target can take the
 	// request.
 	unavailableRetryAfter = 150 * time.Millisecond
-	// ownerLostRetryAfter is the retry delay when the owner of a key is lost. Its
-	// keys get another owner in two to five seconds, so that callers best use the
-	// time that they have.
-	ownerLostRetryAfter = time.Second
-	// minOwnerWait bounds from below how long a request may wait for the owner of
-	// its key: about the time in which a move without running requests or a probe
-	// ends. A move ends once the running requests for its keys have ended, so that
-	// requests with a longer latency objective may wait a part of it.
-	minOwnerWait         = 250 * time.Millisecond
-	objectiveWaitDivisor = 2
 )
 
 // Balancer is the state machine that selects targets.
@@ -62,6 +52,7 @@
 	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
 	patience     map[workload]*longestPatience
+	exchange     exchange
 }
 
 // New returns a balancer for a VM in the given failure domain.
@@ -101,6 +92,8 @@
 		b.limits = m.Limits
 	case LoadReportRequest:
 		return []Output{LoadReportReply{To: m.Reply, Load: b.loadReport(now)}}
+	case ObservationsRequest, DigestChanged:
+		return b.stepExchange(now, m)
 	case Tick:
 		return b.startProbes(now)
 	}
@@ -182,6 +175,7 @@
 		}
 	}
 	t, d := b.choose(now, req, service)
+	b.countDemand(t, d)
 	if t == nil {
 		return d
 	}
@@ -206,7 +200,7 @@
 	}
 	occupancy := t.occupancy(now)
 	t.inFlight++
-	t.rateLimiter.take(now)
+	b.countSent(now, t)
 	return Decision{
 		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age,
 		Target: Target{ID: t.ID, Address: t.Address, StartedAt: t.StartedAt, MaxConnections: b.connections(service)},
@@ -328,48 +322,6 @@
 	return t.occupancy(now)+1 > t.slots()*(1+limit) || s.LoadControl && b.queueTooLong(now, t, req)
 }
 
-// keyOwner returns the owner of the request's key. If the owner can't take the
-// request, keyOwner returns the decision to wait or reject.
-func (b *Balancer) keyOwner(now core.Instant, req SelectTarget, s routing.Service) (*target, Decision) {
-	assignment, ok := b.owners.Assignment(req.Service, req.Key)
-	if !ok {
-		return nil, waitForMove(req, "", "no-owner")
-	}
-	if assignment.Moving() {
-		return nil, waitForMove(req, assignment.Owner.Target, "moving")
-	}
-	t := b.targets[assignment.Owner.Target]
-	switch {
-	case t == nil || t.StartedAt != assignment.Owner.StartedAt:
-		return nil, waitForLostOwner(assignment.Owner.Target, "owner-lost")
-	case t.unreachable || t.replaced:
-		return nil, waitForLostOwner(t.ID, "owner-unreachable")
-	case !t.ServesOwnedKeys(now):
-		return nil, waitForMove(req, t.ID, "owner-leaving")
-	case now.Before(t.pausedUntil):
-		return nil, b.rejectPaused(now, t)
-	case b.full(now, t, req, s):
-		return nil, b.rejectOverloaded(now, t, "full")
-	case !b.withinRateLimit(now, t):
-		return nil, b.rejectLimited(now, t)
-	}
-	return t, Decision{}
-}
-
-// waitForMove returns the decision to wait for the owner of a key that moves.
-func waitForMove(req SelectTarget, owner core.Target, reason string) Decision {
-	return Decision{
-		Verdict: Wait, Target: Target{ID: owner}, Reason: reason, RetryAfter: unavailableRetryAfter,
-		MaxWait: max(minOwnerWait, req.Objective/objectiveWaitDivisor),
-	}
-}
-
-// waitForLostOwner returns the decision to wait whether a probe reaches the owner
-// of a key.
-func waitForLostOwner(owner core.Target, reason string) Decision {
-	return Decision{Verdict: Wait, Target: Target{ID: owner}, Reason: reason, RetryAfter: ownerLostRetryAfter, MaxWait: minOwnerWait}
-}
-
 // rejectOverloaded rejects a request because the target is overloaded.
 func (b *Balancer) rejectOverloaded(now core.Instant, t *target, reason string) Decision {
 	return Decision{
@@ -394,6 +346,7 @@
 	}
 	t.inFlight = max(0, t.inFlight-1)
 	t.recordLoad(now, m.Load)
+	b.countResult(now, t, m)
 	return append(b.recordAnnouncement(now, t, m.Announced, m.Elapsed), b.recordResult(now, t, m)...)
 }
 
