loadview: requests that a target with room turns away take no capacity

The shares are those of attempts, by the part that is turned away while the target's queue is short. A target that reports free slots comes under admission only by a surge, and its shares grow while it does.

--- a/internal/loadview/loadview_test.go
+++ b/internal/loadview/loadview_test.go
@@ -349,3 +349,30 @@
 		send(a, now, from(i%58, list...))
 	}
 }
+
+// Guards against an admission that leaves a target idle which turns half of the
+// requests away although it has room: those take no time there. And against an
+// admission of a target that reports free slots.
+func TestTurnedAwayRequestsTakeNoCapacity(t *testing.T) {
+	is := is.New(t)
+	now := core.Instant(time.Hour)
+	from := &sender{at: now}
+	state := func(wanted, sent, turnedAway, running, waiting int) *targetState {
+		s := &targetState{byVM: make(map[core.VM]*demand), trim: 1}
+		for range 20 { // the rates are smoothed
+			now = now.Add(time.Second)
+			from.at = now
+			s.observe(now, "v", from, time.Second, Observation{
+				Slots: 4, Demand: wanted, Sent: sent, TurnedAway: turnedAway, Samples: 10, ServiceTime: 100 * time.Millisecond,
+				Load: &Load{Running: running, Waiting: waiting, Slowdown: 1},
+			})
+			s.refresh(now, time.Second)
+		}
+		return s
+	}
+	s := state(200, 100, 50, 4, 1)
+	is.True(s.admitting)
+	is.True(s.attemptCapacity() > 75 && s.attemptCapacity() < 85) // 40 a second are run
+	is.Equal(int(state(200, 100, 50, 4, 12).attemptCapacity()), 40)  // the queue is full
+	is.True(!state(55, 50, 0, 2, 0).admitting)
+}
--- a/internal/loadview/target.go
+++ b/internal/loadview/target.go
@@ -48,6 +48,11 @@
 	trimBelow = 0.95
 	minTrim   = 0.5
 	maxTrim   = 1.2
+	// roomTrimRate is trimRate for a target that reports free slots.
+	roomTrimRate = 0.4
+	maxRoomTrim  = 1.4
+	// minAccepted bounds the accepted share of the requests that are sent.
+	minAccepted = 0.2
 	// unknownDemand is the demand, in requests per second, that a VM without an entry
 	// is assumed to have at a target under admission.
 	unknownDemand = 0.25
@@ -55,11 +60,14 @@
 	maxLoadAge = 2 * time.Second
 )
 
-// rates are requests per second.
-type rates struct{ demand, sent, turnedAway float64 }
+// rates are requests per second. withRoom are those that the target turned away while
+// its queue was short.
+type rates struct{ demand, sent, turnedAway, withRoom float64 }
 
 func (r rates) plus(o rates, weight float64) rates {
-	return rates{r.demand + weight*o.demand, r.sent + weight*o.sent, r.turnedAway + weight*o.turnedAway}
+	return rates{
+		r.demand + weight*o.demand, r.sent + weight*o.sent, r.turnedAway + weight*o.turnedAway, r.withRoom + weight*o.withRoom,
+	}
 }
 
 // demand is one VM's entry for a target.
@@ -119,7 +127,11 @@
 		t.byVM[vm] = d
 	}
 	d.from = from
-	d.add(now, interval, rates{float64(o.Demand) / seconds, float64(o.Sent) / seconds, float64(o.TurnedAway) / seconds})
+	measured := rates{demand: float64(o.Demand) / seconds, sent: float64(o.Sent) / seconds, turnedAway: float64(o.TurnedAway) / seconds}
+	if o.Load != nil && float64(o.Load.Waiting) <= queuePerSlot*float64(o.Slots) {
+		measured.withRoom = measured.turnedAway
+	}
+	d.add(now, interval, measured)
 	t.slots, t.limit = o.Slots, o.Limit
 	if o.Samples > 0 {
 		t.addSamples(now, o.Samples, o.ServiceTime)
@@ -170,10 +182,26 @@
 	return float64(t.slots) / d.Seconds()
 }
 
+// reportsRoom reports whether the target's last load report shows free slots.
+func (t *targetState) reportsRoom(now core.Instant) bool {
+	return t.load != nil && now.Sub(t.loadAt) <= maxLoadAge && t.load.Running+t.load.Waiting < t.slots
+}
+
+// attemptCapacity returns the requests per second that may be sent so that the target
+// runs as many as it can. It exceeds the capacity for a target that turns requests
+// away although its queue is short: these take no time there.
+func (t *targetState) attemptCapacity() float64 {
+	capacity := t.capacity()
+	if t.total.sent <= 0 {
+		return capacity
+	}
+	return capacity / max(minAccepted, 1-t.total.withRoom/t.total.sent)
+}
+
 // available returns the requests per second that all VMs together may send: the
 // capacity less what brings the queue to its desired length.
 func (t *targetState) available(now core.Instant) float64 {
-	capacity := t.capacity()
+	capacity := t.attemptCapacity()
 	queue := 0.0
 	if t.load != nil && now.Sub(t.loadAt) <= maxLoadAge {
 		queue = float64(t.load.Running+t.load.Waiting) - float64(t.slots)*(1+queuePerSlot)
@@ -208,10 +236,11 @@
 // updateAdmission returns the text of an event if the target comes under admission or
 // leaves it.
 func (t *targetState) updateAdmission(now core.Instant, elapsed time.Duration) string {
-	capacity := t.capacity()
+	capacity := t.attemptCapacity()
+	room := t.reportsRoom(now)
 	if !t.admitting {
 		switch {
-		case capacity <= 0 || t.total.demand <= enterFactor*capacity:
+		case capacity <= 0 || t.total.demand <= enterFactor*capacity || room && t.total.demand <= surgeFactor*capacity:
 			t.sinceChange = now
 		case t.total.demand > surgeFactor*capacity || now.Sub(t.sinceChange) >= enterAfter:
 			t.admitting, t.trim, t.sinceChange = true, 1, now
@@ -227,11 +256,16 @@
 		return "target no longer under admission"
 	}
 	switch {
+	case room:
+		t.trim = min(t.trim+roomTrimRate*elapsed.Seconds(), maxRoomTrim)
 	case t.total.sent > capacity:
 		t.trim = max(t.trim-trimRate*elapsed.Seconds(), minTrim)
-	case t.total.sent < trimBelow*capacity:
+	case t.total.sent < trimBelow*capacity && t.trim < maxTrim:
 		t.trim = min(t.trim+trimRate*elapsed.Seconds(), maxTrim)
 	}
+	if !room && t.trim > maxTrim {
+		t.trim = max(t.trim-roomTrimRate*elapsed.Seconds(), maxTrim)
+	}
 	return ""
 }
 
