balance: only the most urgent requests are bounded by their objective

And all VMs took the load of the digest for services where they have a choice, so that they would choose the same targets.

Priority 0 is bounded by the objective, others by the deadline. The load of a digest is used for the owners of keys only.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -64,13 +64,15 @@
 	return l.observe(now, req.Patience)
 }
 
-// queueTooLong reports whether a new request would wait so long in the target's
-// queue that it would be answered after its latency objective. Callers that return
-// after a rejection get the part of the queue that is left. A request that wouldn't
-// have to queue always has room: nobody else could use its place.
+// queueTooLong reports whether a request would wait so long in the target's queue that
+// its response is of little use: after the latency objective for the most urgent
+// requests, and after the deadline for others, which are better answered late than not
+// at all. New requests leave a part of the queue to callers that return after a
+// rejection. A request that wouldn't have to queue always has room: nobody else
+// could use its place.
 func (b *Balancer) queueTooLong(now core.Instant, t *target, req SelectTarget) bool {
 	queued := t.queueLength(now)
-	if queued <= 0 || req.Objective <= 0 {
+	if queued <= 0 {
 		return false
 	}
 	// The mean of the target, as neighbours that slow it down now will have gone
@@ -79,7 +81,11 @@
 	if duration <= 0 {
 		duration = b.work.mean(t.Service)
 	}
-	forQueue := float64(req.Objective - duration)
+	useful := req.Deadline.Sub(now)
+	if req.Priority == 0 && req.Objective > 0 {
+		useful = min(useful, req.Objective)
+	}
+	forQueue := float64(useful - duration)
 	if req.Waited == 0 {
 		forQueue *= newcomerQueueShare
 	}
--- a/internal/balance/digest.go
+++ b/internal/balance/digest.go
@@ -152,7 +152,9 @@
 	}
 	t.digested.at, t.digested.generation = asOf, b.exchange.generation
 	t.digested.admission.set(now, e.Admit, b.random)
-	if l := e.Load; l != nil {
+	// Where there is a choice, all VMs would send to the target that the same digest
+	// shows as idle.
+	if l := e.Load; l != nil && b.services[t.Service].Sharded {
 		if at := asOf.Add(-l.Age); t.load == nil || at.After(t.loadAt) {
 			t.recordLoad(at, &TargetLoad{Running: l.Running, Waiting: l.Waiting, Slots: e.Slots, Slowdown: l.Slowdown})
 		}
--- a/internal/loadview/loadview_test.go
+++ b/internal/loadview/loadview_test.go
@@ -372,7 +372,7 @@
 	}
 	s := state(200, 100, 50, 4, 1)
 	is.True(s.admitting)
-	is.True(s.attemptCapacity() > 75 && s.attemptCapacity() < 85) // 40 a second are run
-	is.Equal(int(state(200, 100, 50, 4, 12).attemptCapacity()), 40)  // the queue is full
+	is.True(s.attemptCapacity() > 75 && s.attemptCapacity() < 85)   // 40 a second are run
+	is.Equal(int(state(200, 100, 50, 4, 12).attemptCapacity()), 40) // the queue is full
 	is.True(!state(55, 50, 0, 2, 0).admitting)
 }
