--- a/internal/loadview/aggregator.go
+++ b/internal/loadview/aggregator.go
@@ -19,6 +19,13 @@
 	// publishInterval is the time between two ServiceTimesMeasured. It is short
 	// against the interval at which the assigner rebalances.
 	publishInterval = 500 * time.Millisecond
+	// digestBudget is how many bytes of digests per second the leader sends at most
+	// because of small changes of entries of entryBytes. The slowest links have
+	// 10 Mbit/s, and the VMs exchange requests over them too.
+	digestBudget = 300_000
+	entryBytes   = 48
+	// minQuietTime is the least time between two small changes of an entry.
+	minQuietTime = 500 * time.Millisecond
 	// maxTargets and maxVMs bound the state if reports name targets or VMs that
 	// don't exist. The largest planned deployment has 13,000 VMs.
 	maxTargets = 16384
@@ -131,6 +138,13 @@
 	t.observe(now, vm, from, interval, o)
 }
 
+// quietTime returns the time between two small changes of an entry, which reach every
+// VM.
+func (a *Aggregator) quietTime() time.Duration {
+	seconds := float64(len(a.targets)) * float64(len(a.vms)) * entryBytes / digestBudget
+	return max(minQuietTime, time.Duration(min(seconds, time.Hour.Seconds())*float64(time.Second)))
+}
+
 // refresh computes the aggregate of each target if it is due.
 func (a *Aggregator) refresh(now core.Instant) []Output {
 	elapsed := now.Sub(a.refreshedAt)
@@ -141,8 +155,9 @@
 	var out []Output
 	next := a.sequence + 1
 	a.admitting = 0
+	quiet := a.quietTime()
 	for p, t := range a.targets {
-		changed, event := t.refresh(now, min(elapsed, time.Second))
+		changed, event := t.refresh(now, min(elapsed, time.Second), quiet)
 		if event != "" {
 			out = append(out, Event{Text: event, Fields: []any{
 				"target", p.Target, "demand_per_s", t.total.demand, "capacity_per_s", t.capacity(), "slots", t.slots,
--- a/internal/loadview/target.go
+++ b/internal/loadview/target.go
@@ -186,8 +186,9 @@
 }
 
 // refresh computes the rates over all VMs and whether the target is under admission.
-// It reports whether the entry changed, and the text of an event, if any.
-func (t *targetState) refresh(now core.Instant, elapsed time.Duration) (changed bool, event string) {
+// It reports whether the entry changed, and the text of an event, if any. Small changes
+// wait until quiet has passed since the last change.
+func (t *targetState) refresh(now core.Instant, elapsed, quiet time.Duration) (changed bool, event string) {
 	t.total = rates{}
 	for vm, d := range t.byVM {
 		if now.Sub(d.at) > EntryTTL {
@@ -198,7 +199,10 @@
 	}
 	event = t.updateAdmission(now, elapsed)
 	e := t.shared(now)
-	if event == "" && !differs(t.published, e) && (e.Load == nil || now.Sub(t.publishedAt) < time.Second) {
+	switch {
+	case event != "" || t.publishedAt == 0 || farApart(t.published, e):
+	case now.Sub(t.publishedAt) >= quiet && differs(t.published, e):
+	default:
 		return false, ""
 	}
 	t.published, t.publishedAt = e, now
@@ -279,20 +283,33 @@
 	return max(share, min(share*boost, bucketRate))
 }
 
-// differs reports whether two entries differ enough to send the new one.
+// apart reports whether two values differ by a fraction of the larger one, and by more
+// than least.
+func apart(x, y, fraction, least float64) bool {
+	return math.Abs(x-y) > max(fraction*max(x, y), least)
+}
+
+// farApart reports whether two entries differ so much that the VMs need the new one at
+// once: the target has become slow, full or idle, or turns requests away.
+func farApart(old, e Entry) bool {
+	const fraction = 0.3
+	return old.Slots != e.Slots || apart(old.ServiceTime.Seconds(), e.ServiceTime.Seconds(), fraction, 0) ||
+		apart(atTarget(old), atTarget(e), 0, float64(e.Slots)) || apart(old.TurnedAway, e.TurnedAway, fraction, 1)
+}
+
+// differs reports whether two entries differ enough to send the new one. A load report
+// is sent again, as it is used only while it is recent.
 func differs(old, e Entry) bool {
-	const ratio = 0.1
-	far := func(x, y, least float64) bool { return math.Abs(x-y) > max(ratio*max(x, y), least) }
-	if far(old.ServiceTime.Seconds(), e.ServiceTime.Seconds(), 0) || old.Slots != e.Slots || (old.Load == nil) != (e.Load == nil) {
-		return true
-	}
-	if far(old.Demand, e.Demand, 0.1*float64(e.Slots)) || far(old.TurnedAway, e.TurnedAway, 0.5) {
-		return true
-	}
+	const fraction = 0.1
+	return e.Load != nil || old.Load != nil ||
+		apart(old.ServiceTime.Seconds(), e.ServiceTime.Seconds(), fraction, 0) ||
+		apart(old.Demand, e.Demand, fraction, 0.5) || apart(old.TurnedAway, e.TurnedAway, fraction, 0.1)
+}
+
+// atTarget returns the requests at the target.
+func atTarget(e Entry) float64 {
 	if e.Load == nil {
-		return false
+		return 0
 	}
-	quarter := float64(e.Slots) / 4
-	return far(float64(old.Load.Running+old.Load.Waiting), float64(e.Load.Running+e.Load.Waiting), max(1, quarter)) ||
-		far(old.Load.Slowdown, e.Load.Slowdown, 0.2)
+	return float64(e.Load.Running + e.Load.Waiting)
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -109,7 +109,7 @@
 	for _, t := range req.Unreachable {
 		load.Unreachable = append(load.Unreachable, core.Target(t))
 	}
-	if req.Partial || len(load.UnitLoads)+len(load.ServiceTime)+len(load.Unreachable) > 0 {
+	if len(load.UnitLoads)+len(load.ServiceTime)+len(load.Unreachable) > 0 {
 		if err := s.assigner.PutBlocking(ctx, load); err != nil {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
--- a/internal/node/loadview.go
+++ b/internal/node/loadview.go
@@ -96,9 +96,12 @@
 
 // reportObservations sends what is new since the last report, if anything is.
 func (n *Process) reportObservations(ctx context.Context) {
-	o, ok := n.observations(ctx)
 	to, isSelf, known := n.leader()
-	if !ok || !known {
+	if !known {
+		return
+	}
+	o, ok := n.observations(ctx)
+	if !ok {
 		return
 	}
 	observed := len(o.Report.Observations) > 0
@@ -108,7 +111,9 @@
 	n.exchange.reported, n.exchange.unreachable = observed, o.Unreachable
 	asOf := n.clock()
 	if isSelf {
-		_ = n.assignerRing.Put(ctx, ownership.LoadReport{VM: n.self.VM, Unreachable: o.Unreachable, Partial: true})
+		if len(o.Unreachable) > 0 {
+			_ = n.assignerRing.Put(ctx, ownership.LoadReport{VM: n.self.VM, Unreachable: o.Unreachable, Partial: true})
+		}
 		n.aggregateOwn(ctx, asOf, o.Report)
 		return
 	}
