loadview: admission that does not waste capacity near its limit

A bucket of one request at each of 9 VMs left a quarter of a target's capacity unused at 1.25 times its capacity, and random variations of the demand brought targets with room under admission. Shares below several requests per second are now raised by D/(D-C), and admission begins at 1.2 times the capacity for a second or twice the capacity at once.

--- a/internal/balance/exchange_test.go
+++ b/internal/balance/exchange_test.go
@@ -218,9 +218,12 @@
 
 const hotCapacity = 24
 
-// hotDemand returns a demand of 400 requests per second over the VMs, of which each
-// third wants one, two and three parts.
-func hotDemand(vms int) []float64 {
+// hotDemand returns a demand of 400 requests per second over the VMs.
+func hotDemand(vms int) []float64 { return demandOf(vms, 400) }
+
+// demandOf returns a demand over the VMs, of which each third wants one, two and three
+// parts.
+func demandOf(vms int, perSecond float64) []float64 {
 	out := make([]float64, vms)
 	var parts float64
 	for i := range out {
@@ -228,7 +231,7 @@
 		parts += out[i]
 	}
 	for i := range out {
-		out[i] *= 400 / parts
+		out[i] *= perSecond / parts
 	}
 	return out
 }
--- a/internal/loadview/target.go
+++ b/internal/loadview/target.go
@@ -32,14 +32,15 @@
 	// its capacity, or after enterAfter if it exceeds enterFactor times. The measured
 	// demand varies by a fifth at a few requests per second. It leaves after the
 	// demand has been below the capacity for leaveAfter.
-	surgeFactor = 1.5
-	enterFactor = 1.1
-	enterAfter  = 500 * time.Millisecond
+	surgeFactor = 2.0
+	enterFactor = 1.2
+	enterAfter  = time.Second
 	leaveAfter  = time.Second
 	// A VM loses a part of its share while its bucket of one request is full. With
 	// demand D and capacity C over all VMs and requests at random times, it uses its
 	// part of C if its rate is D/(D-C) times that part, which maxBoost bounds. Above
-	// bucketRate, in requests per second, a bucket holds several requests.
+	// bucketRate, in requests per second, a bucket holds several requests, and less is
+	// lost.
 	maxBoost   = 8.0
 	bucketRate = 4.0
 	// The shares are reduced or raised by trimRate per second while the VMs send more
@@ -280,7 +281,7 @@
 	if spare := t.total.demand - available; spare > 0 {
 		boost = min(boost, t.total.demand/spare)
 	}
-	return max(share, min(share*boost, bucketRate))
+	return share * (1 + (boost-1)/max(1, share/bucketRate))
 }
 
 // apart reports whether two values differ by a fraction of the larger one, and by more
