balance: leave targets with an announced limit to the fixed shares

With a limit of 10 requests per second, 58 and 95 VMs that applied both the fixed share and the admission sent 144 and 118 of 240 requests in 24 s. With the fixed share alone they send 242 and 238, at most 45 in any 4 s (the bound is 65).

--- a/internal/balance/digest.go
+++ b/internal/balance/digest.go
@@ -91,11 +91,13 @@
 	}
 }
 
-// admitted reports whether the digest allows this VM to send the target a request.
+// admitted reports whether the digest allows this VM to send the target a request. A
+// target that announced a limit to this VM is left to the VM's fixed part of that: two
+// buckets in a row used half of the limit in simulations of 58 and 95 VMs.
 func (b *Balancer) admitted(now core.Instant, t *target) bool {
 	a := &t.digested.admission
 	weight := t.digested.weight(now)
-	if a.perSecond <= 0 || weight <= 0 || !b.loadControlled(t) {
+	if a.perSecond <= 0 || weight <= 0 || t.announced.RateLimit > 0 || !b.loadControlled(t) {
 		return true
 	}
 	a.refill(now, weight)
--- a/internal/balance/digest_test.go
+++ b/internal/balance/digest_test.go
@@ -69,7 +69,8 @@
 }
 
 // Guards against an admission that exceeds the limit that a target announces: from 3 s
-// after it was first named, 1.5 times the limit and 5 requests in any 4 s.
+// after it was first named, 1.5 times the limit and 5 requests in any 4 s. Guards also
+// against two buckets in a row, which leave half of the limit unused.
 func TestAdmissionKeepsAnnouncedLimit(t *testing.T) {
 	for _, vms := range []int{9, 58, 95} {
 		is := is.New(t)
@@ -82,7 +83,7 @@
 		}
 		t.Logf("%d VMs: at most %d requests in 4 s, %d sent in 24 s", vms, most, f.sentIn(5*time.Second, 24*time.Second))
 		is.True(most <= limit*4*3/2+5)
-		is.True(f.sentIn(5*time.Second, 24*time.Second) > 0)
+		is.True(f.sentIn(5*time.Second, 24*time.Second) >= limit*24*9/10)
 	}
 }
 
