balance: expected work of a request by its features, with load control

Requests of one route differ widely in their work, and one mean for all of them sends expensive requests to the targets that cheap ones wait at. internal/cost learns which feature of a request (method, size, first path segment, caller, key, path) the work depends on. With load control, the balancer uses this estimate in place of the route's mean, and counts its own requests at a target by their remaining expected work in place of their number. Without load control no decision changes.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/cost"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -59,6 +60,8 @@
 	targets      map[core.Target]*target
 	retryBudgets map[core.Service]*retryBudget
 	work         workEstimates
+	costs        cost.Estimator
+	attempts     uint64
 	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
 }
@@ -116,7 +119,7 @@
 		}
 		n := &target{Target: d, knownSince: now}
 		if t != nil {
-			n.inFlight = t.inFlight
+			n.inFlight, n.remaining = t.inFlight, t.remaining
 		}
 		b.targets[id] = n
 		n.rank = b.rankOf(d)
@@ -165,7 +168,7 @@
 	if !req.Counted {
 		b.retryBudget(req.Service).deposit(b.limits, b.memberCount())
 		if service.Sharded {
-			b.countRequest(req)
+			b.countRequest(now, req)
 		}
 	}
 	t, d := b.choose(now, req, service)
@@ -173,7 +176,8 @@
 		return d
 	}
 	remaining := req.Deadline.Sub(now)
-	expected := t.expectedLatency(now, b.workOf(req))
+	w := b.workOf(now, req)
+	expected := t.expectedLatency(now, w)
 	// An idle target gets a request all the same, as only results update the
 	// estimate.
 	if expected > remaining && !t.isIdle(now) {
@@ -192,10 +196,11 @@
 		age = now.Sub(t.loadAt)
 	}
 	occupancy := t.occupancy(now)
+	attempt := b.trackAttempt(now, t, w)
 	t.inFlight++
 	t.rateLimiter.take(now)
 	return Decision{
-		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age,
+		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age, Attempt: attempt,
 		Target: Target{ID: t.ID, Address: t.Address, StartedAt: t.StartedAt, MaxConnections: b.connections(service)},
 	}
 }
@@ -260,7 +265,7 @@
 // cost, or nil, and one that is full or at its rate limit, if any was found.
 func (b *Balancer) cheapest(now core.Instant, req SelectTarget, s routing.Service, list []*discovery.Target) (best, full *target) {
 	var bestCost time.Duration
-	w := b.workOf(req)
+	w := b.workOf(now, req)
 	seen := 0
 	for _, i := range b.candidateOrder(list) {
 		t := b.targets[list[i].ID]
@@ -370,16 +375,13 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-func (b *Balancer) workOf(req SelectTarget) work {
-	return b.work.of(workload{service: req.Service, route: req.Route}, req.Objective)
-}
-
 func (b *Balancer) attemptDone(now core.Instant, m AttemptDone) []Output {
 	t := b.targets[m.Target]
 	if t == nil {
 		return nil
 	}
 	t.inFlight = max(0, t.inFlight-1)
+	t.remaining.end(m.Attempt, t.inFlight)
 	t.recordLoad(now, m.Load)
 	return append(b.recordAnnouncement(now, t, m.Announced, m.Elapsed), b.recordResult(now, t, m)...)
 }
@@ -420,8 +422,7 @@
 
 // recordDuration updates the estimates of the target and of the request's route.
 func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
-	w := workload{service: m.Service, route: m.Route}
-	b.work.observe(w, m.Objective, t.recordDuration(now, m.Elapsed, b.work.of(w, m.Objective)))
+	b.observeWork(now, m, t.recordDuration(now, m.Elapsed, b.workDone(now, m)))
 	t.duration = t.meanDuration(b.work.mean(t.Service))
 }
 
--- a/internal/balance/load_report.go
+++ b/internal/balance/load_report.go
@@ -9,13 +9,13 @@
 
 // countRequest adds a request to the load of its key. A request counts by its work
 // relative to the mean of the service.
-func (b *Balancer) countRequest(req SelectTarget) {
+func (b *Balancer) countRequest(now core.Instant, req SelectTarget) {
 	units := b.unitLoads[req.Service]
 	if units == nil {
 		units = make(map[int]float64)
 		b.unitLoads[req.Service] = units
 	}
-	w := b.workOf(req)
+	w := b.workOf(now, req)
 	units[ownership.Unit(req.Key)] += float64(w.request) / float64(w.queued)
 }
 
--- a/internal/balance/messages.go
+++ b/internal/balance/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/cost"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -23,6 +24,9 @@
 	Objective time.Duration
 	// Key is set for sharded services.
 	Key uint16
+	// Features are what the work of the request may depend on, if the service has load
+	// control.
+	Features cost.Features
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority int
 	// Deadline is when the caller must have the response.
@@ -81,6 +85,9 @@
 	// LoadAge is the age of the target's last load report, negative if there is
 	// none.
 	LoadAge time.Duration
+	// Attempt identifies the attempt in its AttemptDone. It is 0 unless the attempt may
+	// be sent and the service has load control.
+	Attempt uint64
 }
 
 // Target identifies the target of an attempt.
@@ -156,6 +163,9 @@
 	Target    core.Target
 	Result    Result
 	Elapsed   time.Duration
+	// Features are those of the SelectTarget, and Attempt is that of the Decision.
+	Features cost.Features
+	Attempt  uint64
 	// Load is the load that the target reported, or nil.
 	Load *TargetLoad
 	// Announced is what the target announced, or nil if it didn't respond.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -58,6 +58,8 @@
 	rank int
 	// inFlight is the number of this VM's requests at the target.
 	inFlight int
+	// remaining is the expected remaining work of those requests, with load control.
+	remaining remainingWork
 	// pace is the mean ratio of the time that requests take, without queueing and
 	// the reported slowdown, to the work of their routes; 0 is unknown.
 	pace float64
@@ -196,7 +198,7 @@
 // sent now.
 func (t *target) expectedLatency(now core.Instant, w work) time.Duration {
 	load := min(1, (t.occupancy(now)+1)/t.slots())
-	usual := float64(w.request)*(1+nearFullSlowdown*load*load) + float64(w.queued)*t.queueLength(now)
+	usual := float64(w.request)*(1+nearFullSlowdown*load*load) + t.workAhead(now, w)
 	return time.Duration(usual * t.slowdown(now) * t.paceOrUsual(now))
 }
 
@@ -256,7 +258,7 @@
 // work.
 func (t *target) recordDuration(now core.Instant, elapsed time.Duration, w work) time.Duration {
 	t.beginUpdate(now)
-	usual := float64(w.request) + float64(w.queued)*t.queueLength(now)
+	usual := float64(w.request) + t.workAhead(now, w)
 	ratio := float64(elapsed) / (t.slowdown(now) * usual)
 	if t.pace == 0 {
 		t.pace = 1
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -29,6 +29,10 @@
 	// queued is the mean over all requests for the service, and so the expected
 	// work of each request that waits ahead.
 	queued time.Duration
+	// spread is the mean absolute deviation from request.
+	spread time.Duration
+	// byCost is set if the work derives from the features of the request.
+	byCost bool
 }
 
 // workload identifies requests of similar work. The routes of one service may
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -57,6 +57,7 @@
 func (r *request) forward() {
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
+	r.features = r.costFeatures()
 	results := make(chan attempt, r.rule.MaxAttempts+maxExtraAttempts+1)
 	kind := balance.First
 	pending := 0
@@ -146,7 +147,7 @@
 	counted := r.sends > 0
 	for {
 		d, err := r.Balancer.SelectTarget(r.ctx, balance.SelectTarget{
-			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective, Key: r.key, Priority: r.rule.Priority,
+			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective, Key: r.key, Priority: r.rule.Priority, Features: r.features,
 			Deadline: r.deadline, Tried: tried, Kind: kind, Counted: counted, Reply: reply,
 		})
 		counted = true
@@ -188,7 +189,7 @@
 		a.result = r.classify(ctx, &a)
 		done := balance.AttemptDone{
 			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective,
-			Target: a.target, Result: a.result, Elapsed: r.Clock().Sub(startedAt),
+			Target: a.target, Result: a.result, Elapsed: r.Clock().Sub(startedAt), Features: r.features, Attempt: d.Attempt,
 		}
 		if a.response != nil && !a.response.OtherProcess {
 			done.Load = r.Headers.ParseLoad(a.response.Header)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/cost"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 )
@@ -46,6 +47,8 @@
 	// suspected is set if targets have ended while they had the same request.
 	suspected   bool
 	fingerprint func() quarantine.Fingerprint
+	// features are zero unless the service has load control.
+	features cost.Features
 
 	tried        []core.Target
 	sends        int
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -69,7 +69,7 @@
 	select {
 	case d := <-reply:
 		if d.Verdict == balance.Send {
-			b.Done(balance.AttemptDone{Service: request.Service, Target: d.Target.ID, Result: balance.Cancelled})
+			b.Done(balance.AttemptDone{Service: request.Service, Target: d.Target.ID, Result: balance.Cancelled, Attempt: d.Attempt})
 		}
 	case <-t.C:
 	}
