balance: keep the speed of a target apart from the work of its keys

A key always has the same owner, so that the estimate by the key took in the speed of the target: the paces of targets with 0.7 and 1.7 times the mean time went to 0.95 and 1.07, and both would have been reported as equally fast to the assigner.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -61,6 +61,7 @@
 	retryBudgets map[core.Service]*retryBudget
 	work         workEstimates
 	costs        cost.Estimator
+	meanPaces    map[core.Service]float64
 	attempts     uint64
 	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
@@ -74,6 +75,7 @@
 		targets:      make(map[core.Target]*target),
 		retryBudgets: make(map[core.Service]*retryBudget),
 		work:         newWorkEstimates(),
+		meanPaces:    make(map[core.Service]float64),
 		unitLoads:    make(map[core.Service]map[int]float64),
 	}
 }
@@ -422,7 +424,7 @@
 
 // recordDuration updates the estimates of the target and of the request's route.
 func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
-	b.observeWork(now, m, t.recordDuration(now, m.Elapsed, b.workDone(now, m)))
+	b.observeWork(now, t, m, t.recordDuration(now, m.Elapsed, b.workDone(now, m)))
 	t.duration = t.meanDuration(b.work.mean(t.Service))
 }
 
--- a/internal/balance/cost_test.go
+++ b/internal/balance/cost_test.go
@@ -30,6 +30,7 @@
 type costRequest struct {
 	at       core.Instant
 	vm       int
+	key      uint16
 	features cost.Features
 	work     time.Duration
 }
@@ -128,7 +129,7 @@
 
 func (s *costSim) send(r costRequest) {
 	req := SelectTarget{
-		Service: "s", Route: "r", Objective: costObjective, Priority: 2, Deadline: r.at.Add(costDeadline), Features: r.features,
+		Service: "s", Route: "r", Objective: costObjective, Priority: 2, Deadline: r.at.Add(costDeadline), Key: r.key, Features: r.features,
 	}
 	d := s.vms[r.vm].Step(r.at, req)[0].(DecisionReply).Decision
 	if s.decided != nil {
--- a/internal/balance/request_work.go
+++ b/internal/balance/request_work.go
@@ -31,12 +31,25 @@
 // minRequestWork bounds the estimate from below, as durations are divided by it.
 const minRequestWork = 10 * time.Microsecond
 
+// relativePace returns the pace of a target that has just been measured relative to
+// the mean pace of the service. A sample without it would attribute the speed of a
+// target to the keys that it owns, and the pace would go back to 1.
+func (b *Balancer) relativePace(t *target) float64 {
+	mean, ok := b.meanPaces[t.Service]
+	if !ok {
+		mean = t.pace
+	}
+	mean = max(minSpeed, mean+(t.pace-mean)/mixSamples)
+	b.meanPaces[t.Service] = mean
+	return max(minSpeed, t.pace) / mean
+}
+
 // observeWork adds a sample of the work of a request.
-func (b *Balancer) observeWork(now core.Instant, m AttemptDone, sample time.Duration) {
+func (b *Balancer) observeWork(now core.Instant, t *target, m AttemptDone, sample time.Duration) {
 	l := workload{service: m.Service, route: m.Route}
 	if b.services[m.Service].LoadControl {
 		scope := cost.Scope{Service: m.Service, Route: m.Route}
-		b.costs.Observe(now, scope, m.Features, b.work.of(l, m.Objective).request, sample)
+		b.costs.Observe(now, scope, m.Features, b.work.of(l, m.Objective).request, time.Duration(float64(sample)/b.relativePace(t)))
 		b.work.observe(l, m.Objective, sample)
 		return
 	}
