--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -198,7 +198,7 @@
 		age = now.Sub(t.loadAt)
 	}
 	occupancy := t.occupancy(now)
-	attempt := b.trackAttempt(now, t, w)
+	attempt := b.trackAttempt(now, t, req.Deadline, w)
 	t.inFlight++
 	t.rateLimiter.take(now)
 	return Decision{
--- a/internal/balance/cost_test.go
+++ b/internal/balance/cost_test.go
@@ -193,27 +193,32 @@
 	return s.latencies[len(s.latencies)*99/100], float64(n) / float64(len(s.latencies)+s.rejected)
 }
 
+// compareEstimates runs the same loads with the mean of the route and with the
+// estimate by features. It returns the means of both over all seeds.
+func compareEstimates(t *testing.T, load func(seed uint64) []costRequest) (p99 [2]time.Duration, inTime [2]float64) {
+	const seeds = 5
+	for seed := range uint64(seeds) {
+		requests := load(seed)
+		for i, loadControl := range []bool{false, true} {
+			s := newCostSim(loadControl)
+			s.run(requests)
+			p, f := s.figures()
+			t.Logf("seed %d,11: by features %v: p99 %v, in time %.4f, rejected %d of %d",
+				seed, loadControl, p.Round(time.Millisecond), f, s.rejected, len(requests))
+			p99[i], inTime[i] = p99[i]+p/seeds, inTime[i]+f/seeds
+		}
+	}
+	t.Logf("mean of %d seeds: p99 %v, by features %v; in time %.4f, by features %.4f", seeds,
+		p99[0].Round(time.Millisecond), p99[1].Round(time.Millisecond), inTime[0], inTime[1])
+	return p99, inTime
+}
+
 // Guards against estimates by the features of requests that serve a load worse than
 // the mean of the route does.
 func TestEstimateByFeaturesIsNoWorse(t *testing.T) {
 	for _, utilisation := range []float64{0.6, 0.8, 1.1} {
 		t.Run(fmt.Sprint(utilisation), func(t *testing.T) {
-			var p99 [2]time.Duration
-			var inTime [2]float64
-			const seeds = 5
-			for seed := range uint64(seeds) {
-				load := costLoad(seed, utilisation, 20000)
-				for i, loadControl := range []bool{false, true} {
-					s := newCostSim(loadControl)
-					s.run(load)
-					p, f := s.figures()
-					t.Logf("seed %d,11: by features %v: p99 %v, in time %.4f, rejected %d of %d",
-						seed, loadControl, p.Round(time.Millisecond), f, s.rejected, len(load))
-					p99[i], inTime[i] = p99[i]+p/seeds, inTime[i]+f/seeds
-				}
-			}
-			t.Logf("mean of %d seeds: p99 %v, by features %v; in time %.4f, by features %.4f", seeds,
-				p99[0].Round(time.Millisecond), p99[1].Round(time.Millisecond), inTime[0], inTime[1])
+			p99, inTime := compareEstimates(t, func(seed uint64) []costRequest { return costLoad(seed, utilisation, 20000) })
 			if p99[1] > p99[0] || inTime[1] < inTime[0] {
 				t.Fatal("worse than the mean of the route")
 			}
@@ -221,6 +226,20 @@
 	}
 }
 
+// Guards against features that serve a load worse whose work depends on none of
+// them.
+func TestFeaturesWithoutDependenceAreNoWorse(t *testing.T) {
+	p99, inTime := compareEstimates(t, func(seed uint64) []costRequest {
+		load := costLoad(seed, 0.8, 20000)
+		random := rand.New(rand.NewPCG(seed, 12))
+		random.Shuffle(len(load), func(i, j int) { load[i].work, load[j].work = load[j].work, load[i].work })
+		return load
+	})
+	if p99[1] > p99[0] || inTime[1] < inTime[0] {
+		t.Fatal("worse than the mean of the route")
+	}
+}
+
 // Guards against a change of decisions without load control: the features and the
 // requests in flight must not matter, and the latency is expected as it was.
 func TestWithoutLoadControlNothingChanges(t *testing.T) {
--- a/internal/balance/remaining.go
+++ b/internal/balance/remaining.go
@@ -21,18 +21,22 @@
 	work, spread time.Duration
 	// startsAt is when the target is expected to start it.
 	startsAt core.Instant
+	// deadline is when the caller must have the response. The result comes soon after;
+	// if it gets lost, the attempt doesn't count any more.
+	deadline core.Instant
 }
 
 // trackAttempt adds an attempt that is about to be sent and returns its
 // identifier. Without load control it returns 0.
-func (b *Balancer) trackAttempt(now core.Instant, t *target, w work) uint64 {
+func (b *Balancer) trackAttempt(now core.Instant, t *target, deadline core.Instant, w work) uint64 {
 	if !w.byCost {
 		return 0
 	}
 	b.attempts++
 	wait := time.Duration(t.workAhead(now, w) * t.speed(now))
+	t.remaining.attempts = slices.DeleteFunc(t.remaining.attempts, func(a sentAttempt) bool { return now.After(a.deadline) })
 	t.remaining.attempts = append(t.remaining.attempts, sentAttempt{
-		id: b.attempts, work: w.request, spread: min(w.spread, w.request), startsAt: now.Add(wait),
+		id: b.attempts, work: w.request, spread: min(w.spread, w.request), startsAt: now.Add(wait), deadline: deadline,
 	})
 	return b.attempts
 }
@@ -51,17 +55,21 @@
 	}
 }
 
-// sum returns the expected remaining work of all attempts. The work of a running
-// attempt falls with time, not below its spread: a request that has run for longer
-// than expected is one of the expensive ones. Speed is the ratio of the time that a
-// request takes at the target to its work.
-func (r *remainingWork) sum(now core.Instant, speed float64) float64 {
-	total := 0.0
+// sum returns the expected remaining work of all attempts, and their number. The
+// work of a running attempt falls with time, but not below its spread. It grows while
+// the attempt runs for longer than expected: it is then one of the expensive requests
+// of its class, and takes the longer the more the class spreads. Speed is the ratio
+// of the time that a request takes at the target to its work.
+func (r *remainingWork) sum(now core.Instant, speed float64) (total float64, count int) {
 	for _, a := range r.attempts {
+		if now.After(a.deadline) {
+			continue
+		}
+		count++
 		done := max(0, float64(now.Sub(a.startsAt))) / speed
-		total += max(float64(a.work)-done, float64(a.spread))
+		total += max(float64(a.work)-done, float64(a.spread)*max(1, done/float64(a.work)))
 	}
-	return total
+	return total, count
 }
 
 // speed returns the ratio of the time that a request takes at the target, without
@@ -83,7 +91,8 @@
 	if !w.byCost || occupancy <= 0 {
 		return float64(w.queued) * queue
 	}
-	known := float64(len(t.remaining.attempts))
-	mean := (t.remaining.sum(now, t.speed(now)) + max(0, occupancy-known)*float64(w.queued)) / max(occupancy, known)
+	own, count := t.remaining.sum(now, t.speed(now))
+	known := float64(count)
+	mean := (own + max(0, occupancy-known)*float64(w.queued)) / max(occupancy, known)
 	return mean * queue
 }
--- a/internal/cost/estimator_test.go
+++ b/internal/cost/estimator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -284,6 +285,34 @@
 	}
 }
 
+// BenchmarkNewFeatures measures what a request adds at the ingress.
+func BenchmarkNewFeatures(b *testing.B) {
+	caller := []string{"Token 0123456789abcdef0123456789abcdef"}
+	b.ReportAllocs()
+	for b.Loop() {
+		NewFeatures(Attributes{Method: "POST", Path: "reports/2026/12/06", Key: 7, Keyed: true, BodyBytes: 60000, Caller: caller})
+	}
+}
+
+// Guards against entries that take much more memory than 1 MiB in total, on VMs of
+// 144 MB.
+func TestMemoryOfAFullEstimator(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var e Estimator
+	for i := range uint64(3 * MaxEntries) {
+		e.Observe(start, scope, Features{Path: i + 1, Caller: i + 1}, prior, prior)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d entries: %d bytes", e.Len(), used)
+	if e.Len() != MaxEntries || used > 1<<20 {
+		t.Fatal("too much memory")
+	}
+}
+
 // Guards against an estimate that allocates.
 func TestEstimateDoesNotAllocate(t *testing.T) {
 	is := is.New(t)
