--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/cost"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/roster"
@@ -49,6 +50,9 @@
 	targets      map[core.Target]*target
 	retryBudgets map[core.Service]*retryBudget
 	work         workEstimates
+	costs        cost.Estimator
+	meanPaces    map[core.Service]float64
+	attempts     uint64
 	unitLoads    map[core.Service]map[int]float64
 	lastReport   core.Instant
 	patience     map[workload]*longestPatience
@@ -63,6 +67,7 @@
 		targets:      make(map[core.Target]*target),
 		retryBudgets: make(map[core.Service]*retryBudget),
 		work:         newWorkEstimates(),
+		meanPaces:    make(map[core.Service]float64),
 		unitLoads:    make(map[core.Service]map[int]float64),
 		patience:     make(map[workload]*longestPatience),
 	}
@@ -112,7 +117,7 @@
 		}
 		n := &target{Target: d, knownSince: now}
 		if t != nil {
-			n.inFlight = t.inFlight
+			n.inFlight, n.remaining = t.inFlight, t.remaining
 		}
 		b.targets[id] = n
 		n.rank = b.rankOf(d)
@@ -171,7 +176,7 @@
 	if !req.Counted {
 		b.retryBudget(req.Service).deposit(limits, b.memberCount())
 		if service.Sharded {
-			b.countRequest(req)
+			b.countRequest(now, req)
 		}
 	}
 	t, d := b.choose(now, req, service)
@@ -180,7 +185,8 @@
 		return d
 	}
 	remaining := req.Deadline.Sub(now)
-	expected := t.expectedLatency(now, b.workOf(req))
+	w := b.workOf(now, req)
+	expected := t.expectedLatency(now, w)
 	// An idle target gets a request all the same, as only results update the
 	// estimate.
 	if expected > remaining && !t.isIdle(now) {
@@ -199,10 +205,11 @@
 		age = now.Sub(t.loadAt)
 	}
 	occupancy := t.occupancy(now)
+	attempt := b.trackAttempt(now, t, req.Deadline, w)
 	t.inFlight++
 	b.countSent(now, t)
 	return Decision{
-		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age,
+		Verdict: Send, Reason: "chosen", ExpectedLatency: expected, Occupancy: occupancy, LoadAge: age, Attempt: attempt,
 		Target: Target{ID: t.ID, Address: t.Address, StartedAt: t.StartedAt, MaxConnections: b.connections(service)},
 	}
 }
@@ -267,7 +274,7 @@
 // cost, or nil, and one that is full or at its rate limit, if any was found.
 func (b *Balancer) cheapest(now core.Instant, req SelectTarget, s routing.Service, list []*discovery.Target) (best, full *target) {
 	var bestCost time.Duration
-	w := b.workOf(req)
+	w := b.workOf(now, req)
 	seen := 0
 	for _, i := range b.candidateOrder(list) {
 		t := b.targets[list[i].ID]
@@ -335,16 +342,13 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
-func (b *Balancer) workOf(req SelectTarget) work {
-	return b.work.of(workload{service: req.Service, route: req.Route}, req.Objective)
-}
-
 func (b *Balancer) attemptDone(now core.Instant, m AttemptDone) []Output {
 	t := b.targets[m.Target]
 	if t == nil {
 		return nil
 	}
 	t.inFlight = max(0, t.inFlight-1)
+	t.remaining.end(m.Attempt, t.inFlight)
 	t.recordLoad(now, m.Load)
 	b.countResult(now, t, m)
 	return append(b.recordAnnouncement(now, t, m.Announced, m.Elapsed), b.recordResult(now, t, m)...)
@@ -386,8 +390,7 @@
 
 // recordDuration updates the estimates of the target and of the request's route.
 func (b *Balancer) recordDuration(now core.Instant, t *target, m AttemptDone) {
-	w := workload{service: m.Service, route: m.Route}
-	b.work.observe(w, m.Objective, t.recordDuration(now, m.Elapsed, b.work.of(w, m.Objective)))
+	b.observeWork(now, t, m, t.recordDuration(now, m.Elapsed, b.workDone(now, m)))
 	t.duration = t.meanDuration(b.work.mean(t.Service))
 }
 
--- a/internal/balance/digest_test.go
+++ b/internal/balance/digest_test.go
@@ -209,14 +209,14 @@
 	}
 	a := b.targets["a"]
 	now := start.Add(4 * time.Second)
-	before := a.expectedLatency(now, b.workOf(SelectTarget{Service: "s"}))
+	before := a.expectedLatency(now, b.workOf(now, SelectTarget{Service: "s"}))
 	e := hotEntry("a")
 	e.Admit = 0
 	e.ServiceTime = 5 * b.work.mean("s")
 	b.Step(now, DigestChanged{Digest: digestOf(2, 1, e), AsOf: now})
 	is.True(a.occupancy(now) > 9.9) // 4 running, 6 waiting
 	is.True(math.Abs(a.paceOrUsual(now)-5) < 0.1)
-	is.True(a.expectedLatency(now, b.workOf(SelectTarget{Service: "s"})) > 4*before)
+	is.True(a.expectedLatency(now, b.workOf(now, SelectTarget{Service: "s"})) > 4*before)
 
 	// The weight falls after a second, and ends after three.
 	own := a.ownPace(now.Add(2 * time.Second))
