team: identify callers by API key

With teams in the configuration, a request needs the key of a team unless its route is anonymous. The key is removed, the target receives the team's name, and the team's priority takes precedence. An unknown key is answered with 401 only by a VM whose configuration is recent enough to know all keys, otherwise with 503. Without teams nothing changes.

Tests of internal/team, internal/ingress, internal/routing and platform pass with -race.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -146,7 +146,7 @@
 	counted := r.sends > 0
 	for {
 		d, err := r.Balancer.SelectTarget(r.ctx, balance.SelectTarget{
-			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective, Key: r.key, Priority: r.rule.Priority,
+			Service: r.service, Route: r.rule.Name, Objective: r.rule.LatencyObjective, Key: r.key, Priority: r.priority(),
 			Deadline: r.deadline, Tried: tried, Kind: kind, Counted: counted, Reply: reply,
 		})
 		counted = true
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -31,6 +31,13 @@
 
 var testHeaders = &protocol.Headers{
 	RequestID: "Id", Deadline: "Wait", Key: "Key", Stamp: "Stamp", NotRun: "Not-Run", ExpectTarget: "Expect", Target: "Target", RetryAfter: "Retry-After",
+	Credential: "Authorization", Team: "Team",
+	ParseCredential: func(values []string) (string, bool) {
+		if len(values) != 1 {
+			return "", false
+		}
+		return strings.CutPrefix(values[0], "Token ")
+	},
 	ParseDeadline: func(s string) (time.Duration, bool) {
 		ms, err := strconv.Atoi(s)
 		return time.Duration(ms) * time.Millisecond, err == nil
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -12,6 +12,7 @@
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 const (
@@ -42,6 +43,8 @@
 	header    http.Header
 	startedAt core.Instant
 	deadline  core.Instant
+	// team is the team that sent the request, or nil.
+	team *team.Team
 
 	// suspected is set if targets have ended while they had the same request.
 	suspected   bool
@@ -101,6 +104,9 @@
 	for _, name := range callerHeaders {
 		parts = append(parts, []byte(strings.Join(r.header.Values(name), "\x00")))
 	}
+	if r.team != nil {
+		parts = append(parts, []byte(r.team.Name))
+	}
 	return quarantine.NewFingerprint(parts...)
 }
 
@@ -132,6 +138,9 @@
 	if r.rule = table.Find(r.httpRequest.Host, path); r.rule == nil {
 		return &rejection{status: http.StatusNotFound, reason: "no-route"}
 	}
+	if rejection := r.identify(table); rejection != nil {
+		return rejection
+	}
 	r.service = r.rule.Pick()
 	if service, ok := table.Service(r.service); ok && service.Sharded {
 		if r.key, r.keyed = r.Headers.ParseKey(r.httpRequest.Header.Get(r.Headers.Key)); !r.keyed {
@@ -147,6 +156,7 @@
 	}
 	r.deadline = r.startedAt.Add(timeout)
 	r.header = forwardedHeader(r.httpRequest.Header, r.Headers)
+	r.setIdentityHeaders(table)
 	if _, ok := r.admit(r.deadline); !ok {
 		return stopRejection()
 	}
@@ -158,7 +168,7 @@
 	if r.deadline, ok = r.admit(r.deadline); !ok {
 		return stopRejection()
 	}
-	return nil
+	return r.identifyAgain()
 }
 
 // readBody reads the complete body, so that a target never receives part of a
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -131,6 +131,9 @@
 	if r.keyed {
 		fields = append(fields, "key", r.key)
 	}
+	if r.team != nil {
+		fields = append(fields, "team", r.team.Name)
+	}
 	if r.suspected {
 		fields = append(fields, "fingerprint", r.fingerprint().String())
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -75,6 +75,11 @@
 	Log        logr.Logger
 	Metrics    *observe.Metrics
 	Tracer     trace.Tracer
+	// ConfigAge returns the time since the configuration in force was known to be the
+	// newest. Nil means that it always is.
+	ConfigAge func() time.Duration
+	// Identity bounds that time. Zero values mean no bound.
+	Identity IdentityLimits
 }
 
 // Server is the HTTP server for callers.
--- a/internal/protocol/headers.go
+++ b/internal/protocol/headers.go
@@ -29,6 +29,9 @@
 	// RetryAfter tells the caller how long to wait before it retries a rejected
 	// request.
 	RetryAfter string
+	// Credential carries a caller's API key. Team tells a target which team sent a
+	// request.
+	Credential, Team string
 
 	// ParseDeadline parses the value of Deadline.
 	ParseDeadline func(string) (time.Duration, bool)
@@ -38,6 +41,9 @@
 	FormatRetryAfter func(time.Duration) string
 	// ParseKey parses the value of Key.
 	ParseKey func(string) (uint16, bool)
+	// ParseCredential returns the API key in the values of Credential. It reports false
+	// unless there is exactly one well-formed value.
+	ParseCredential func(values []string) (key string, ok bool)
 	// ParseLoad returns the load that a target reports in a response, or nil if
 	// it reports none.
 	ParseLoad func(http.Header) *balance.TargetLoad
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // Config is one version of the operators' configuration.
@@ -16,6 +17,8 @@
 	// LoadControl switches on the decisions of docs/design/hard-load.md: how callers
 	// share targets that can't serve all of them.
 	LoadControl bool
+	// Teams are those that may send requests. Without any, requests need no key.
+	Teams []team.Team
 }
 
 // Route sends the requests of a host under a path prefix to services.
@@ -36,6 +39,8 @@
 	Backends []Backend
 	// MaxAttempts bounds the targets that one request may be sent to.
 	MaxAttempts int
+	// Anonymous is set if requests need no key although there are teams.
+	Anonymous bool
 }
 
 // Backend is a service that gets a share of a route's requests.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // Table finds routes and services of one configuration version.
@@ -16,6 +17,7 @@
 	limits   Limits
 	hosts    map[string][]*Rule
 	services map[core.Service]Service
+	teams    *team.Index
 }
 
 // Rule is a route with the state that divides its requests among backends.
@@ -30,6 +32,7 @@
 		version: c.Version, limits: c.Limits,
 		hosts:    make(map[string][]*Rule),
 		services: make(map[core.Service]Service, len(c.Services)),
+		teams:    team.NewIndex(c.Teams),
 	}
 	for _, s := range c.Services {
 		s.LoadControl = c.LoadControl
@@ -69,6 +72,9 @@
 // Services returns all services by name.
 func (t *Table) Services() map[core.Service]Service { return t.services }
 
+// Teams returns the index of the teams, or nil if the configuration has none.
+func (t *Table) Teams() *team.Index { return t.teams }
+
 // Find returns the rule with the longest prefix of the path on that host, or
 // nil. A port in the host is ignored.
 func (t *Table) Find(host, path string) *Rule {
