team: quotas over all VMs by permits from one account

A team's quota holds over all VMs. The VM that leads the ledger is the account and issues permits, which expire within 0.5 s; every attempt that may run needs one. Unused permits go back and are taken out of the time at which they were issued. The account is open only while its ledger is fresh or a majority knows nothing newer; a new one waits until no earlier one can issue. A VM that can't reach it has a local share, so small that the bound holds.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -13,6 +13,7 @@
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/quarantine"
+	"celeryhook.example/celeryhook/internal/team"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -37,6 +38,8 @@
 
 // attempt is the outcome of sending the request to a target.
 type attempt struct {
+	// permit is that of the team, or nil.
+	permit   *team.Permit
 	target   core.Target
 	response *upstream.Response
 	err      error
@@ -62,14 +65,24 @@
 	pending := 0
 	var last *attempt
 	possibleRuns := 0
+	defer r.returnPermit()
 	for {
+		if rejection := r.takePermit(maxPermitWait); rejection != nil {
+			r.finishWithoutPermit(last, rejection)
+			return
+		}
 		d, err := r.selectTarget(kind)
 		if err != nil || d.Verdict != balance.Send {
 			r.finishWithoutTarget(last, d, err)
 			return
 		}
+		permit, rejection := r.usePermit(d, maxPermitWait)
+		if rejection != nil {
+			r.finishWithoutPermit(last, rejection)
+			return
+		}
 		pending++
-		r.startAttempt(ctx, d, results)
+		r.startAttempt(ctx, d, permit, results)
 		hedge := r.hedgeTimer(d, possibleRuns)
 		for pending > 0 {
 			var a attempt
@@ -77,10 +90,17 @@
 			case a = <-results:
 			case <-hedge:
 				hedge = nil
+				if r.takePermit(noPermitWait) != nil {
+					continue
+				}
 				if d, err := r.selectTarget(balance.Hedge); err == nil && d.Verdict == balance.Send {
+					permit, rejection := r.usePermit(d, noPermitWait)
+					if rejection != nil {
+						continue
+					}
 					pending++
 					r.Metrics.Count("hedges")
-					r.startAttempt(ctx, d, results)
+					r.startAttempt(ctx, d, permit, results)
 				}
 				continue
 			}
@@ -97,6 +117,8 @@
 			}
 			if a.mayHaveRun() {
 				possibleRuns++
+			} else {
+				r.keepPermit(a.permit)
 			}
 		}
 		if kind = r.nextAttempt(last, possibleRuns); kind == noAttempt {
@@ -173,7 +195,7 @@
 }
 
 // startAttempt sends the request to a target on a goroutine of its own.
-func (r *request) startAttempt(ctx context.Context, d balance.Decision, results chan<- attempt) {
+func (r *request) startAttempt(ctx context.Context, d balance.Decision, permit *team.Permit, results chan<- attempt) {
 	out := &upstream.Request{
 		Address: d.Target.Address, Service: string(r.service), Target: string(d.Target.ID), ID: r.id,
 		Method: r.httpRequest.Method, URI: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: r.header, Body: r.body,
@@ -183,7 +205,7 @@
 		ctx, span := r.Tracer.Start(ctx, "attempt", trace.WithAttributes(attribute.String("target", out.Target)))
 		defer span.End()
 		startedAt := r.Clock()
-		a := attempt{target: d.Target.ID}
+		a := attempt{target: d.Target.ID, permit: permit}
 		a.response, a.err = r.Upstream.Do(ctx, out)
 		a.result = r.classify(ctx, &a)
 		done := balance.AttemptDone{
--- a/internal/ingress/identity.go
+++ b/internal/ingress/identity.go
@@ -49,7 +49,7 @@
 	case found == nil:
 		return &rejection{status: http.StatusUnauthorized, reason: "unknown-key"}
 	}
-	r.team = found
+	r.team, r.teamVersion = found, table.Version()
 	return nil
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -45,6 +45,11 @@
 	deadline  core.Instant
 	// team is the team that sent the request, or nil.
 	team *team.Team
+	// teamVersion is the version of the configuration that the team is from, and
+	// permit a permit under which nothing was sent.
+	teamVersion  int64
+	permit       *team.Permit
+	quotaCounted bool
 
 	// suspected is set if targets have ended while they had the same request.
 	suspected   bool
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -48,20 +48,24 @@
 	}
 	if err != nil {
 		d.RetryAfter = overloadRetryAfter
-		switch {
-		case errors.Is(context.Cause(r.ctx), errCallerClosed):
-			r.reason = "caller-left"
-		case errors.Is(context.Cause(r.ctx), errStopping):
-			r.reason = "stopping"
-		case r.ctx.Err() != nil:
-			r.reason = "deadline"
-		default:
-			r.reason = "balancer-busy"
-		}
+		r.reason = r.undecidedReason("balancer-busy")
 	}
 	r.reject(&rejection{status: http.StatusServiceUnavailable, reason: r.reason, retryAfter: d.RetryAfter})
 }
 
+// undecidedReason returns why a duty made no decision, busy if for no other reason.
+func (r *request) undecidedReason(busy string) string {
+	switch {
+	case errors.Is(context.Cause(r.ctx), errCallerClosed):
+		return "caller-left"
+	case errors.Is(context.Cause(r.ctx), errStopping):
+		return "stopping"
+	case r.ctx.Err() != nil:
+		return "deadline"
+	}
+	return busy
+}
+
 // writeFailure responds to a request whose last attempt failed. It states that
 // the request did not run only if no attempt can have run; the caller may then
 // return after retryAfter.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -22,6 +22,7 @@
 	"celeryhook.example/celeryhook/internal/protocol"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -59,6 +60,17 @@
 	Answered(f quarantine.Fingerprint)
 }
 
+// Quota limits the requests of teams.
+type Quota interface {
+	// Take returns a permit for a request, for which it may wait until the given time.
+	// The error is the context's, or the quota can't be decided at present.
+	Take(ctx context.Context, t *team.Team, version int64, until core.Instant) (team.Verdict, error)
+	// GiveBack returns a permit under which nothing can have run.
+	GiveBack(p team.Permit)
+	// Count counts a request of a team.
+	Count(t *team.Team, o team.Outcome)
+}
+
 // Exchanger sends one attempt to a target.
 type Exchanger interface {
 	Do(ctx context.Context, r *upstream.Request) (*upstream.Response, error)
@@ -80,6 +92,8 @@
 	ConfigAge func() time.Duration
 	// Identity bounds that time. Zero values mean no bound.
 	Identity IdentityLimits
+	// Quota is used only for requests of teams.
+	Quota Quota
 }
 
 // Server is the HTTP server for callers.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -15,6 +15,7 @@
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/ring"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // maxSyncWait is the longest time for which a Sync is held.
@@ -28,6 +29,8 @@
 	renewer  *ring.Ring[ownership.Message]
 	suspects *ring.Ring[quarantine.Message]
 	store    replica.Store
+	// account is nil if ServeQuotas was not called.
+	account *ring.Ring[team.Message]
 }
 
 // NewServer returns a server that passes requests to the duties over their rings
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -11,6 +11,7 @@
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/roster"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // Messages flow from the replica through discovery, roster and ledger to the
@@ -60,6 +61,8 @@
 		for _, r := range c.Records {
 			n.applyOperatorRecord(ctx, r, c)
 		}
+		n.configAsOf.Store(max(n.configAsOf.Load(), int64(c.AsOf)))
+		_ = n.holderRing.Put(ctx, team.ConfigRead{AsOf: c.AsOf})
 	case replica.Targets:
 		_ = n.renewerRing.Put(ctx, ownership.DirectoryRead{AsOf: c.AsOf})
 		for _, r := range c.Records {
@@ -103,6 +106,9 @@
 	_ = n.discoveryRing.Put(ctx, discovery.ColdStartsChanged{Durations: coldStarts})
 	_ = n.balanceRing.Put(ctx, balance.ServicesChanged{Services: services})
 	_ = n.assignerRing.Put(ctx, ownership.ServicesChanged{Services: services})
+	teams := team.ConfigChanged{Version: version, Teams: n.routes.Table().Teams().Teams()}
+	_ = n.holderRing.Put(ctx, teams)
+	_ = n.accountRing.Put(ctx, teams)
 }
 
 func (n *Process) applyTargetRecord(ctx context.Context, r replica.Record) {
@@ -131,6 +137,7 @@
 	m := ownership.LedgerChanged{View: view, AsOf: c.AsOf, LeaderWrote: len(c.Records) > 0 && view.InForce()}
 	_ = n.renewerRing.Put(ctx, m)
 	_ = n.assignerRing.Put(ctx, m)
+	_ = n.accountRing.Put(ctx, n.leadership(view, c.AsOf))
 	if len(c.Records) > 0 {
 		_ = n.balanceRing.Put(ctx, balance.OwnersChanged{View: view})
 	}
@@ -180,6 +187,8 @@
 		_ = n.assignerRing.Put(ctx, ownership.MembersChanged{View: o.View})
 		_ = n.renewerRing.Put(ctx, ownership.MembersChanged{View: o.View})
 		_ = n.quarantineRing.Put(ctx, quarantine.MembersChanged{View: o.View})
+		_ = n.holderRing.Put(ctx, team.MembersChanged{View: o.View})
+		_ = n.accountRing.Put(ctx, team.MembersChanged{View: o.View})
 	}
 }
 
@@ -219,7 +228,7 @@
 	case ownership.QueryGrantExpiry:
 		n.queryGrantExpiry(ctx, o)
 	case ownership.CheckQuorum:
-		n.checkQuorum(ctx, o, n.assignerRing)
+		n.checkQuorum(ctx, o, n.quorumTo(n.assignerRing))
 	}
 }
 
@@ -230,7 +239,7 @@
 	case ownership.SendReply:
 		o.To <- o.Reply
 	case ownership.CheckQuorum:
-		n.checkQuorum(ctx, o, n.renewerRing)
+		n.checkQuorum(ctx, o, n.quorumTo(n.renewerRing))
 	case ownership.Renew:
 		n.renew(ctx, o)
 	}
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -70,7 +70,7 @@
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
-	meshHandler := mesh.NewHandler(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform))
+	meshHandler := mesh.NewHandler(mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform).ServeQuotas(n.accountRing))
 	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
 		return err
 	}
@@ -133,6 +133,9 @@
 // the targets and the owners, and isn't stopping.
 func (n *Process) checkReady(context.Context) {
 	ready, reason := n.readiness()
+	if ready {
+		n.wasReady.Store(true)
+	}
 	if n.ready.Swap(ready) != ready {
 		n.log.Info("readiness changed", "ready", ready, "reason", reason)
 	}
@@ -149,6 +152,8 @@
 		return false, "no targets"
 	case n.owners.Load() == nil:
 		return false, "no ledger"
+	case n.awaitsAccount(table):
+		return false, "no account of the teams"
 	}
 	owners := n.owners.Load()
 	for name, s := range table.Services() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -93,8 +93,8 @@
 }
 
 // checkQuorum counts the other members that know no newer record and those that
-// know one, and sends the result to the duty that asked.
-func (n *Process) checkQuorum(ctx context.Context, o ownership.CheckQuorum, to *ring.Ring[ownership.Message]) {
+// know one, and passes the result on.
+func (n *Process) checkQuorum(ctx context.Context, o ownership.CheckQuorum, done func(context.Context, ownership.QuorumResult)) {
 	started := n.clock()
 	var agreeing, newer atomic.Int32
 	var pending sync.WaitGroup
@@ -122,10 +122,15 @@
 	}
 	go func() {
 		pending.Wait()
-		_ = to.Put(ctx, ownership.QuorumResult{Started: started, Agreeing: int(agreeing.Load()), Newer: int(newer.Load())})
+		done(ctx, ownership.QuorumResult{Started: started, Agreeing: int(agreeing.Load()), Newer: int(newer.Load())})
 	}()
 }
 
+// quorumTo returns a function that puts the result of a quorum check into a ring.
+func (n *Process) quorumTo(to *ring.Ring[ownership.Message]) func(context.Context, ownership.QuorumResult) {
+	return func(ctx context.Context, r ownership.QuorumResult) { _ = to.Put(ctx, r) }
+}
+
 // report sends this VM's load report to the leader's assigner, and compares the
 // evidence against requests that crash targets.
 func (n *Process) report(ctx context.Context) {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"celeryhook.example/celeryhook/internal/balance"
+	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ingress"
@@ -23,6 +24,7 @@
 	"celeryhook.example/celeryhook/internal/ring"
 	"celeryhook.example/celeryhook/internal/roster"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -42,7 +44,10 @@
 	probeWorkers = 4
 	peerWorkers  = 16
 	poolRingSize = 1024
+	// quotaWorkers call the account of the teams. One call is in progress at a time.
+	quotaWorkers = 2
 
+	quotaTickInterval      = 50 * time.Millisecond
 	tickInterval           = 100 * time.Millisecond
 	replicaTickInterval    = 50 * time.Millisecond
 	discoveryTickInterval  = 40 * time.Millisecond
@@ -75,8 +80,14 @@
 	// report.
 	evidenceDiffers atomic.Bool
 	membersAsOf     atomic.Int64
-	ready           atomic.Bool
-	stopping        atomic.Bool
+	configAsOf      atomic.Int64
+	// accountReached is set once this VM has reached the account of the teams, and
+	// wasReady once it has been ready.
+	accountReached atomic.Bool
+	wasReady       atomic.Bool
+	startedAt      core.Instant
+	ready          atomic.Bool
+	stopping       atomic.Bool
 
 	replicaRing    *ring.Ring[replica.Message]
 	discoveryRing  *ring.Ring[discovery.Message]
@@ -85,12 +96,16 @@
 	assignerRing   *ring.Ring[ownership.Message]
 	renewerRing    *ring.Ring[ownership.Message]
 	quarantineRing *ring.Ring[quarantine.Message]
+	holderRing     *ring.Ring[team.Message]
+	accountRing    *ring.Ring[team.Message]
 	readers        [replica.NumStreams]*replica.Reader
 	follower       *replica.Follower
 	orders         *duty.Pool
 	probes         *duty.Pool
 	peers          *duty.Pool
 	appends        *duty.Pool
+	quotas         *duty.Pool
+	usage          *team.Usage
 
 	// verifiedAt holds, for each ownership.Holder, the core.Instant of the last
 	// health check that found its process not restarted.
@@ -120,6 +135,10 @@
 		assignerRing:   ring.New[ownership.Message]("assigner", stateRingSize, ring.Block),
 		renewerRing:    ring.New[ownership.Message]("keeper", stateRingSize, ring.Block),
 		quarantineRing: ring.New[quarantine.Message]("quarantine", stateRingSize, ring.Block),
+		holderRing:     ring.New[team.Message]("quota", requestRingSize, ring.Block),
+		accountRing:    ring.New[team.Message]("account", stateRingSize, ring.Block),
+		usage:          team.NewUsage(),
+		quotas:         duty.NewPool("quotas", quotaWorkers, poolRingSize),
 		orders:         duty.NewPool("orders", orderWorkers, poolRingSize),
 		probes:         duty.NewPool("probes", probeWorkers, poolRingSize),
 		peers:          duty.NewPool("peers", peerWorkers, poolRingSize),
@@ -133,11 +152,13 @@
 	n.ingress = ingress.NewServer(ingress.Options{
 		Routes: &n.routes, Balancer: &balancerClient{n}, Quarantine: &quarantineClient{n}, Upstream: n.client, Headers: p.Headers(),
 		Clock: clock, Log: log, Metrics: m, Tracer: tracer,
+		ConfigAge: n.configAge, Identity: s.Identity, Quota: &quotaClient{n},
 	})
-	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.renewerRing, n.quarantineRing} {
+	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.holderRing, n.accountRing} {
 		m.Ring(r)
 	}
-	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
+	m.Source(n.usage.Report)
+	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends, n.quotas} {
 		m.Pool(p.Ring())
 	}
 	return n
@@ -148,6 +169,7 @@
 func (n *Process) startDuties() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.startedAt = n.clock()
 	random := rand.New(rand.NewPCG(uint64(n.self.Incarnation), uint64(len(n.self.VM))))
 	go duty.New("replica", n.clock, n.replicaRing, replica.New(), n.emitReplica, replica.Message(replica.Tick{}), replicaTickInterval).Run(ctx)
 	go duty.New("discovery", n.clock, n.discoveryRing, discovery.NewDuty(), n.emitDiscovery, discovery.Message(discovery.Tick{}), discoveryTickInterval).Run(ctx)
@@ -158,11 +180,13 @@
 	go duty.New("assigner", n.clock, n.assignerRing, assigner, n.emitAssigner, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("keeper", n.clock, n.renewerRing, ownership.NewRenewer(n.clock()), n.emitRenewer, ownership.Message(ownership.Tick{}), tickInterval).Run(ctx)
 	go duty.New("quarantine", n.clock, n.quarantineRing, quarantine.NewDuty(), n.emitQuarantine, quarantine.Message(quarantine.Tick{}), quarantineTickInterval).Run(ctx)
+	go duty.New("quota", n.clock, n.holderRing, team.NewHolder(n.settings.Quotas, n.clock()), n.emitHolder, team.Message(team.Tick{}), quotaTickInterval).Run(ctx)
+	go duty.New("account", n.clock, n.accountRing, team.NewAccount(n.settings.Quotas, n.settings.FirstStart), n.emitAccount, team.Message(team.Tick{}), tickInterval).Run(ctx)
 	for _, r := range n.readers {
 		go r.Run(ctx)
 	}
 	go n.follower.Run(ctx)
-	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends} {
+	for _, p := range []*duty.Pool{n.orders, n.probes, n.peers, n.appends, n.quotas} {
 		for range p.Size() {
 			go p.Run(ctx)
 		}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -8,10 +8,12 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/discovery"
+	"celeryhook.example/celeryhook/internal/ingress"
 	"celeryhook.example/celeryhook/internal/ownership"
 	"celeryhook.example/celeryhook/internal/protocol"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // Settings are the settings that a gateway VM reads from the platform at its
@@ -32,6 +34,10 @@
 	// StopTimeout is how long the process may take to stop after SIGTERM.
 	StopTimeout time.Duration
 	Retry       balance.RetryLimits
+	// Quotas are the tolerances of the teams' quotas, and Identity the bounds on the
+	// configuration that keys are judged by.
+	Quotas   team.Limits
+	Identity ingress.IdentityLimits
 	// MaxGrant is the longest grant that targets accept; 0 means no limit.
 	MaxGrant time.Duration
 	// FirstStart is set if the whole deployment starts for the first time.
--- a/internal/observe/handler.go
+++ b/internal/observe/handler.go
@@ -34,6 +34,10 @@
 			out[name+".p999"] = int64(p[3])
 		}
 	})
+	m.sources.Range(func(_, read any) bool {
+		read.(func(func(int64, ...string)))(func(value int64, parts ...string) { out[joinName(parts)] = value })
+		return true
+	})
 	return out
 }
 
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,9 @@
 	// names counts registered names. Concurrent registrations of one name may
 	// each be counted.
 	names atomic.Int64
+	// sources holds functions that Source has registered, by their number.
+	sources     sync.Map
+	sourceCount atomic.Int64
 }
 
 // NewMetrics returns an empty set of metrics.
@@ -73,6 +77,12 @@
 	_ = m.registry.Register(joinName(parts), metrics.NewFunctionalGauge(read))
 }
 
+// Source registers a function that passes on metrics whose names change. It is called
+// each time the metrics are read, and bounds their number itself.
+func (m *Metrics) Source(read func(add func(value int64, parts ...string))) {
+	m.sources.Store(m.sourceCount.Add(1), read)
+}
+
 // Ring is the part of a ring that metrics are read from.
 type Ring interface {
 	Name() string
