team: tests of permits on the request path, between VMs and end to end

TestTeams runs three VMs with a store and targets: keys don't reach targets, the names are right and a quota holds over all VMs.

--- a/internal/team/bucket.go
+++ b/internal/team/bucket.go
@@ -59,8 +59,11 @@
 	return min(capacity, level+b.rate*now.Sub(at).Seconds()), issued
 }
 
-// spanLimit returns how many permits may be issued in a span.
-func (b *bucket) spanLimit(l Limits) float64 { return b.rate*l.span(b.quota).Seconds() + b.burst }
+// spanLimit returns how many permits may be issued in a span and the width of a bin,
+// for which they are counted.
+func (b *bucket) spanLimit(l Limits) float64 {
+	return b.rate*(l.span(b.quota)+binWidth).Seconds() + b.burst
+}
 
 // available returns how many permits may be issued now.
 func (b *bucket) available(now core.Instant, l Limits) int {
--- a/standin/wire/names.go
+++ b/standin/wire/names.go
@@ -28,6 +28,9 @@
 	headerLoad      = "Celeryhook-Server-Load"
 	headerCold      = "Celeryhook-Cold-Ms"
 	headerEra       = "Store-Era"
+	headerTenant    = "Celeryhook-Tenant"
+
+	headerCredential = "Authorization"
 
 	headerLimit      = "Server-Limit"
 	headerLeaving    = "Server-Leaving"
@@ -47,6 +50,9 @@
 	return h
 }
 
+// SetKey sets the header that carries a team's key.
+func SetKey(h http.Header, key string) { h.Set(headerCredential, "Token "+key) }
+
 // Stamp returns the server stamp of a response. It is empty if a VM made the
 // response itself.
 func Stamp(h http.Header) string { return h.Get(headerStamp) }
--- a/standin/wire/operator.go
+++ b/standin/wire/operator.go
@@ -39,6 +39,14 @@
 	Timeout  time.Duration
 	Routes   []Route
 	Services []ServiceOptions
+	Teams    []Team
+}
+
+// Team may send requests. PerSecond is 0 if it has no quota.
+type Team struct {
+	Name             string
+	Keys             []string
+	PerSecond, Burst float64
 }
 
 // Route matches paths by prefix and selects the service.
@@ -85,10 +93,18 @@
 		}
 		services.Rows = append(services.Rows, []any{x.Name, "/health", x.MaxConns, milliseconds(x.Cold), x.ColdRate, sharded})
 	}
-	b, err := json.Marshal(map[string]any{
+	record := map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3s", "idleTimeout": "15s"},
-	})
+	}
+	if len(c.Teams) > 0 {
+		teams := objectTable{Columns: []string{"name", "apiKeys", "ratePerS", "burst"}}
+		for _, t := range c.Teams {
+			teams.Rows = append(teams.Rows, []any{t.Name, t.Keys, t.PerSecond, t.Burst})
+		}
+		record["tenants"] = teams
+	}
+	b, err := json.Marshal(record)
 	if err != nil {
 		return fmt.Errorf("wire: configuration %d: %w", c.Version, err)
 	}
--- a/standin/wire/server.go
+++ b/standin/wire/server.go
@@ -59,6 +59,8 @@
 	// Key is -1 if the server isn't sharded.
 	Key int
 	At  time.Time
+	// Teams and Credentials are the values of the headers that say who sends it.
+	Teams, Credentials []string
 }
 
 // Server is a target that registers itself in the store.
@@ -364,6 +366,7 @@
 	s.running++
 	f := s.faults
 	run := Run{Server: s.ID, ID: id, Method: r.Method, URI: r.RequestURI, Body: string(body), Key: key, At: time.Now()}
+	run.Teams, run.Credentials = r.Header.Values(headerTenant), r.Header.Values(headerCredential)
 	if s.Observer == nil {
 		s.runs = append(s.runs, run)
 	}
