--- a/internal/team/quota_test.go
+++ b/internal/team/quota_test.go
@@ -246,6 +246,39 @@
 	w.check(0, large)
 }
 
+// Guards against callers that return when they were told and find the quota exceeded
+// again, although together they stay within it.
+func TestCallersThatReturnInTimeAreAdmitted(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, seed, 9, tight)
+			w.calm = true
+			w.run(10 * time.Second)
+			returned, again := 0, 0
+			for i := range 150 { // at once: more than a second of the quota
+				v := w.vms[i%len(w.vms)]
+				w.send(v, "tight", func(first Verdict) {
+					if first.Outcome != Exceeded {
+						return
+					}
+					w.after(first.RetryAfter+5*time.Millisecond, func() {
+						w.send(v, "tight", func(second Verdict) {
+							if returned++; second.Outcome != Admitted {
+								again++
+							}
+						})
+					})
+				})
+			}
+			w.run(10 * time.Second)
+			t.Logf("%d returned, %d were rejected again", returned, again)
+			if returned < 80 || 4*again > returned {
+				t.Errorf("%d returned, %d were rejected again", returned, again)
+			}
+		})
+	}
+}
+
 // Guards against a Retry-After after which the quota is exceeded as before.
 func TestRetryAfterOfAnExceededQuota(t *testing.T) {
 	is := is.New(t)
--- a/internal/team/world_test.go
+++ b/internal/team/world_test.go
@@ -380,13 +380,22 @@
 }
 
 func (w *world) take(v *worldVM, i int, name string, until core.Instant) {
+	w.takeFor(v, name, until, func(verdict Verdict) { w.decided(v, i, name, until, verdict) })
+}
+
+// send takes a permit for a request and sends it at once.
+func (w *world) send(v *worldVM, name string, done func(Verdict)) {
+	w.takeFor(v, name, w.now.Add(400*time.Millisecond), done)
+}
+
+func (w *world) takeFor(v *worldVM, name string, until core.Instant, done func(Verdict)) {
 	config := w.versions[v.version-1]
 	k := slices.IndexFunc(config.teams, func(t Team) bool { return t.Name == name })
 	if k < 0 {
 		return
 	}
 	reply := make(chan<- Verdict, 1)
-	w.waiting[reply] = func(verdict Verdict) { w.decided(v, i, name, until, verdict) }
+	w.waiting[reply] = done
 	w.holder(v, Take{Team: &config.teams[k], Version: int64(v.version), Until: until, Reply: reply})
 }
 
