team: majority counts all VMs known in the last ten minutes

A VM that has restarted doesn't know the VMs that are no longer listed. In a minority with the store it could open an account beside that of a majority without the store. The number of VMs is now part of each call for permits, and a new account checks its majority until it opens.

--- a/internal/mesh/quota.go
+++ b/internal/mesh/quota.go
@@ -34,7 +34,7 @@
 		return nil, twirp.InvalidArgumentError("items", "too many teams")
 	}
 	reply := make(chan team.AskReply, 1)
-	ask := team.Ask{Reply: reply}
+	ask := team.Ask{Reply: reply, VMs: int(min(req.Vms, math.MaxInt32))}
 	for _, v := range req.Items {
 		if !(v.PerSecond >= 0) || !(v.Burst >= 0) || math.IsInf(v.PerSecond+v.Burst, 0) || v.Needed > math.MaxInt32 || v.Extra > math.MaxInt32 {
 			return nil, twirp.InvalidArgumentError("items", "quota or number out of range")
@@ -65,8 +65,8 @@
 }
 
 // Quota asks a member, whose account of the teams is open, for permits.
-func (c *Client) Quota(ctx context.Context, to roster.Member, items []team.AskItem) (team.AskReply, error) {
-	req := &meshpb.QuotaRequest{}
+func (c *Client) Quota(ctx context.Context, to roster.Member, items []team.AskItem, vms int) (team.AskReply, error) {
+	req := &meshpb.QuotaRequest{Vms: uint32(vms)}
 	for _, v := range items {
 		item := &meshpb.QuotaItem{
 			Team: v.Team, Version: v.Version, PerSecond: v.Rate, Burst: v.Burst, Needed: uint32(v.Needed), Extra: uint32(v.Extra),
--- a/internal/mesh/quota_test.go
+++ b/internal/mesh/quota_test.go
@@ -42,9 +42,10 @@
 		go func() {
 			ask := (<-account.C()).(team.Ask)
 			is.Equal(ask.Items, items)
+			is.Equal(ask.VMs, 79)
 			ask.Reply <- c.reply
 		}()
-		reply, err := client.Quota(ctx, to, items)
+		reply, err := client.Quota(ctx, to, items, 79)
 		is.Equal(err == nil, c.ok)
 		if c.ok {
 			is.Equal(reply, c.reply)
--- a/internal/node/emit.go
+++ b/internal/node/emit.go
@@ -76,6 +76,7 @@
 		for _, r := range c.Records {
 			n.applyMemberRecord(ctx, r)
 		}
+		_ = n.accountRing.Put(ctx, team.MembersRead{AsOf: c.AsOf})
 	}
 }
 
--- a/internal/node/teams.go
+++ b/internal/node/teams.go
@@ -93,7 +93,7 @@
 		defer cancel()
 		done := team.AskDone{Seq: o.Seq}
 		var err error
-		if done.Reply, err = n.callAccount(callCtx, o.Items); err != nil {
+		if done.Reply, err = n.callAccount(callCtx, o); err != nil {
 			n.metrics.Count("quota_calls_failed")
 			done.Failed = true
 		}
@@ -104,7 +104,7 @@
 	}
 }
 
-func (n *Process) callAccount(ctx context.Context, items []team.AskItem) (team.AskReply, error) {
+func (n *Process) callAccount(ctx context.Context, o team.Ask) (team.AskReply, error) {
 	closed := team.AskReply{Closed: true}
 	view, members := n.owners.Load(), n.members.Load()
 	if view == nil || members == nil {
@@ -115,10 +115,10 @@
 		if !ok {
 			return closed, nil
 		}
-		return n.mesh.Quota(ctx, leader, items)
+		return n.mesh.Quota(ctx, leader, o.Items, o.VMs)
 	}
 	reply := make(chan team.AskReply, 1)
-	if err := n.accountRing.PutBlocking(ctx, team.Ask{Items: items, Reply: reply}); err != nil {
+	if err := n.accountRing.PutBlocking(ctx, team.Ask{Items: o.Items, VMs: o.VMs, Reply: reply}); err != nil {
 		return closed, err
 	}
 	select {
--- a/internal/team/account.go
+++ b/internal/team/account.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
-	"celeryhook.example/celeryhook/internal/roster"
 )
 
 const (
@@ -19,11 +18,13 @@
 	quorumValidity = 1300 * time.Millisecond
 	quorumInterval = 500 * time.Millisecond
 	quorumAge      = 1300 * time.Millisecond
-	// electorateTime is how long a VM that is no longer listed counts for a majority.
-	// A VM without the store doesn't notice that others are removed from the list, so
-	// that it stops to act alone before they stop to count.
-	electorateTime = 10 * time.Minute
-	staleLimit     = electorateTime - 30*time.Second
+	// staleLimit is how long a majority can stand in for the store.
+	staleLimit = electorateTime - 30*time.Second
+	// hintTime is how long the account counts with the number of VMs that another VM
+	// knows. All VMs with requests ask more often.
+	hintTime = 10 * time.Second
+	// refreshInterval is the time between updates of the electorate.
+	refreshInterval = time.Second
 	// bucketIdleTime is how long a full bucket is kept without use.
 	bucketIdleTime = time.Minute
 )
@@ -56,15 +57,23 @@
 	quorumRequestedAt    core.Instant
 	quorumPending        bool
 
-	members *roster.View
-	seen    map[core.VM]core.Instant
+	// confirmedBy is the number of other VMs that have the record of the leadership.
+	confirmedBy int
+	electorate  electorate
+	updatedAt   core.Instant
+	// membersAsOf is when the list of VMs was the newest, or 0 if it was never read.
+	membersAsOf core.Instant
+	// hint is the largest electorate that a VM told lately. A VM that has restarted
+	// doesn't know those that are no longer listed.
+	hint   int
+	hintAt core.Instant
 }
 
 // NewAccount returns an account that issues nothing yet. FirstStart is set if the
 // deployment starts for the first time.
 func NewAccount(l Limits, firstStart bool) *Account {
 	return &Account{
-		limits: l, firstStart: firstStart, emptyEnd: -1, buckets: make(map[string]*bucket), configured: make(map[string]quota), seen: make(map[core.VM]core.Instant),
+		limits: l, firstStart: firstStart, emptyEnd: -1, buckets: make(map[string]*bucket), configured: make(map[string]quota), electorate: newElectorate(),
 	}
 }
 
@@ -72,19 +81,29 @@
 func (a *Account) Step(now core.Instant, m Message) []Output {
 	switch m := m.(type) {
 	case Ask:
+		if m.VMs >= a.hint || now.Sub(a.hintAt) > hintTime {
+			a.hint, a.hintAt = m.VMs, now
+		}
 		return []Output{SendReply{To: m.Reply, Reply: a.answer(now, m.Items)}}
 	case ConfigChanged:
 		a.configChanged(m)
 	case MembersChanged:
-		a.members = m.View
-		a.see(now)
+		a.electorate.changed(now, m.View)
+	case MembersRead:
+		a.membersAsOf = max(a.membersAsOf, m.AsOf)
 	case LedgerRead:
 		return a.ledgerRead(now, m)
 	case QuorumResult:
 		return a.quorumResult(now, m)
 	case Tick:
-		a.see(now)
-		a.forget(now)
+		if now.Sub(a.updatedAt) >= refreshInterval {
+			a.updatedAt = now
+			a.electorate.update(now)
+			a.forget(now)
+		}
+		if now.Before(a.openAt) && !a.noPredecessor && !a.majority(a.confirmedBy) {
+			a.openAt = 0
+		}
 		return a.checkQuorum(now)
 	}
 	return nil
@@ -102,20 +121,8 @@
 	}
 }
 
-// see updates the VMs that count for a majority.
-func (a *Account) see(now core.Instant) {
-	if a.members == nil {
-		return
-	}
-	for _, m := range a.members.All() {
-		a.seen[m.VM] = now
-	}
-	for vm, at := range a.seen {
-		if now.Sub(at) > electorateTime {
-			delete(a.seen, vm)
-		}
-	}
-}
+// majority reports whether this VM and a number of others are a majority.
+func (a *Account) majority(others int) bool { return 2*(others+1) > max(a.electorate.size(), a.hint) }
 
 func (a *Account) ledgerRead(now core.Instant, m LedgerRead) []Output {
 	a.asOf, a.next = max(a.asOf, m.AsOf), m.Next
@@ -148,7 +155,7 @@
 // checkQuorum asks the other VMs whether they have the record of the leadership, or,
 // when the ledger grows old, whether they know a newer one.
 func (a *Account) checkQuorum(now core.Instant) []Output {
-	if !a.leading || !a.limited || a.members == nil || a.quorumPending || now.Sub(a.quorumRequestedAt) < quorumInterval && a.quorumRequestedAt != 0 {
+	if !a.leading || !a.limited || a.electorate.members == nil || a.membersAsOf == 0 || a.quorumPending || now.Sub(a.quorumRequestedAt) < quorumInterval && a.quorumRequestedAt != 0 {
 		return nil
 	}
 	next := a.position - 1
@@ -158,19 +165,19 @@
 		}
 	}
 	a.quorumPending, a.quorumRequestedAt = true, now
-	return []Output{CheckQuorum{Next: next, Members: a.members.All()}}
+	return []Output{CheckQuorum{Next: next, Members: a.electorate.members.All()}}
 }
 
 func (a *Account) quorumResult(now core.Instant, m QuorumResult) []Output {
 	a.quorumPending = false
-	majority := func(others int) bool { return 2*(others+1) > len(a.seen) }
 	switch {
 	case !a.leading:
-	case a.openAt == 0 && m.Next == a.position-1 && majority(m.Newer):
+	case a.openAt == 0 && m.Next == a.position-1 && a.majority(m.Newer):
 		// An earlier leader may have had a fresh ledger, or a majority, until now.
+		a.confirmedBy = m.Newer
 		a.openAt = max(a.leadingSince.Add(mandateAge+asOfError), now.Add(quorumValidity)).Add(maxLifetime)
 		return []Output{Event{Text: "account of the teams opens", Fields: []any{"in_ms", a.openAt.Sub(now).Milliseconds()}}}
-	case a.openAt != 0 && m.Next == a.next && majority(m.Agreeing):
+	case a.openAt != 0 && m.Next == a.next && a.majority(m.Agreeing):
 		a.quorumAt = max(a.quorumAt, m.Started)
 	}
 	return nil
--- a/internal/team/holder.go
+++ b/internal/team/holder.go
@@ -40,7 +40,8 @@
 	// order holds the holdings in the order of their first requests, and due those
 	// that the next Ask is for.
 	order, due []*holding
-	vms        int
+	electorate electorate
+	updatedAt  core.Instant
 
 	asking  bool
 	seq     uint64
@@ -94,7 +95,7 @@
 
 // NewHolder returns a holder without permits.
 func NewHolder(l Limits, now core.Instant) *Holder {
-	return &Holder{limits: l, startedAt: now, holdings: make(map[string]*holding), vms: 1}
+	return &Holder{limits: l, startedAt: now, holdings: make(map[string]*holding), electorate: newElectorate()}
 }
 
 // Step implements duty.Step.
@@ -111,8 +112,7 @@
 	case ConfigRead:
 		h.configAt = max(h.configAt, m.AsOf)
 	case MembersChanged:
-		// VMs that are no longer listed may still send.
-		h.vms = max(h.vms, m.View.Size())
+		h.electorate.changed(now, m.View)
 	case Tick:
 		return h.tick(now)
 	}
@@ -278,7 +278,7 @@
 	}
 	h.asking, h.askedAt = true, now
 	h.seq++
-	m.Seq = h.seq
+	m.Seq, m.VMs = h.seq, h.electorate.size()
 	return []Output{m}
 }
 
@@ -332,6 +332,10 @@
 }
 
 func (h *Holder) tick(now core.Instant) []Output {
+	if now.Sub(h.updatedAt) >= refreshInterval {
+		h.updatedAt = now
+		h.electorate.update(now)
+	}
 	var out []Output
 	if h.asking && now.Sub(h.askedAt) > askTimeout {
 		h.asking, h.failed = false, true
@@ -401,5 +405,5 @@
 	if !h.failed || now.Sub(h.startedAt) <= h.limits.Window+maxLifetime || now.Sub(h.configAt) > h.limits.Apply {
 		return 0
 	}
-	return h.limits.localShare(v.quota, h.vms)
+	return h.limits.localShare(v.quota, h.electorate.size())
 }
--- a/internal/team/messages.go
+++ b/internal/team/messages.go
@@ -78,6 +78,9 @@
 	// Seq is that of the AskDone.
 	Seq   uint64
 	Items []AskItem
+	// VMs is the number of VMs of the deployment that the holder knows, with those that
+	// are no longer listed since a short time.
+	VMs   int
 	Reply chan<- AskReply
 }
 
@@ -134,6 +137,9 @@
 // MembersChanged carries the VMs of the deployment.
 type MembersChanged struct{ View *roster.View }
 
+// MembersRead reports when the list of VMs was the newest.
+type MembersRead struct{ AsOf core.Instant }
+
 // LedgerRead carries what the ledger says of the leader.
 type LedgerRead struct {
 	// Leading is set if the ledger is in force and this process leads.
@@ -164,6 +170,7 @@
 func (ConfigRead) message()     {}
 func (ConfigChanged) message()  {}
 func (MembersChanged) message() {}
+func (MembersRead) message()    {}
 func (LedgerRead) message()     {}
 func (QuorumResult) message()   {}
 func (Tick) message()           {}
--- a/internal/team/quota_test.go
+++ b/internal/team/quota_test.go
@@ -144,6 +144,31 @@
 	})
 }
 
+// Guards against an account in a minority that opens because its VM has restarted and no
+// longer knows the majority, which goes on without the store.
+func TestQuotaWhenAMinorityRestarts(t *testing.T) {
+	faulty(t, 9, func(w *world) {
+		leader := w.leaderVM()
+		others := 0
+		for _, v := range w.vms {
+			if v != leader && others < 4 {
+				v.group = 1
+				others++
+			}
+		}
+		w.store.group = 1
+		w.run(30 * time.Second) // the records of the majority have expired
+		for _, v := range w.vms {
+			if v.group == 1 && others > 1 {
+				w.start(v)
+				others--
+				w.run(5 * time.Second)
+			}
+		}
+		w.run(20 * time.Second)
+	})
+}
+
 // Guards against a quota that is exceeded or, as long as the leader and a majority
 // run, not available while the store is down.
 func TestQuotaWhenTheStoreIsDown(t *testing.T) {
--- a/internal/team/world_test.go
+++ b/internal/team/world_test.go
@@ -226,6 +226,7 @@
 			w.holder(v, ConfigRead{AsOf: asOf})
 			w.holder(v, MembersChanged{View: view})
 			w.accountStep(v, MembersChanged{View: view})
+			w.accountStep(v, MembersRead{AsOf: asOf})
 		})
 	})
 }
@@ -305,7 +306,7 @@
 	w.after(w.delay(), func() {
 		w.on(to, target, func() {
 			reply := make(chan AskReply, 1)
-			w.accountStep(to, Ask{Items: o.Items, Reply: reply})
+			w.accountStep(to, Ask{Items: o.Items, VMs: o.VMs, Reply: reply})
 			r := <-reply
 			if w.connected(v, to) {
 				w.after(w.delay(), func() { w.on(v, i, func() { w.holder(v, AskDone{Seq: o.Seq, Reply: r}) }) })
