--- a/internal/team/quota_test.go
+++ b/internal/team/quota_test.go
@@ -144,6 +144,19 @@
 	})
 }
 
+// Guards against an account that goes on in a minority without the store beside the new
+// one.
+func TestQuotaWhenTheAccountIsCutOff(t *testing.T) {
+	faulty(t, 9, func(w *world) {
+		old := w.leaderVM()
+		old.group, w.vms[0].group, w.vms[1].group = 1, 1, 1
+		w.run(15 * time.Second)
+		if w.leaderVM() == old || !w.leaderVM().account.open(w.now) {
+			w.t.Error("no new account")
+		}
+	})
+}
+
 // Guards against an account in a minority that opens because its VM has restarted and no
 // longer knows the majority, which goes on without the store.
 func TestQuotaWhenAMinorityRestarts(t *testing.T) {
