ingress: name the scheme of credentials in a response 401

Tests of internal/ingress on teams pass with -race; of internal/node TestTeams, TestConfigurationChange, TestStoreOutage and TestStoreRestoredFromOlderCopy.

--- a/internal/ingress/identity_test.go
+++ b/internal/ingress/identity_test.go
@@ -87,7 +87,7 @@
 		"two keys in one line":  {"/safe/1", "Authorization: Token red-1, Token red-1\r\n", 401, ""},
 		"other scheme":          {"/safe/1", "Authorization: Bearer red-1\r\n", 401, ""},
 		"no scheme":             {"/safe/1", "Authorization: red-1\r\n", 401, ""},
-		"long key":              {"/safe/1", "Authorization: Token " + strings.Repeat("r", 32<<10) + "\r\n", 401, ""},
+		"long key":              {"/safe/1", "Authorization: Token " + strings.Repeat("r", 64<<10) + "\r\n", 401, ""},
 		"anonymous":             {"/open/1", "", 200, ""},
 		"anonymous, name":       {"/open/1", "Team: red\r\n", 200, ""},
 		"anonymous, key":        {"/open/1", "Authorization: Token red-1\r\nTeam: red\r\n", 200, ""},
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -114,6 +114,9 @@
 	if rej.retryAfter > 0 {
 		h.Set(r.Headers.RetryAfter, r.Headers.FormatRetryAfter(rej.retryAfter))
 	}
+	if rej.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", r.Headers.Challenge)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	body := rej.reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/protocol/headers.go
+++ b/internal/protocol/headers.go
@@ -32,6 +32,9 @@
 	// Credential carries a caller's API key. Team tells a target which team sent a
 	// request.
 	Credential, Team string
+	// Challenge is the value of WWW-Authenticate in a response to a caller without a
+	// valid key.
+	Challenge string
 
 	// ParseDeadline parses the value of Deadline.
 	ParseDeadline func(string) (time.Duration, bool)
