--- a/internal/ingress/identity_test.go
+++ b/internal/ingress/identity_test.go
@@ -57,6 +57,7 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	is.NoErr(err)
+	is.Equal(res.Header.Get("WWW-Authenticate") == "Token", res.StatusCode == 401)
 	for _, key := range append(red.Keys, blue.Keys...) {
 		is.True(!strings.Contains(string(body), string(key)))
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -31,7 +31,7 @@
 
 var testHeaders = &protocol.Headers{
 	RequestID: "Id", Deadline: "Wait", Key: "Key", Stamp: "Stamp", NotRun: "Not-Run", ExpectTarget: "Expect", Target: "Target", RetryAfter: "Retry-After",
-	Credential: "Authorization", Team: "Team",
+	Credential: "Authorization", Team: "Team", Challenge: "Token",
 	ParseCredential: func(values []string) (string, bool) {
 		if len(values) != 1 {
 			return "", false
--- a/internal/team/account.go
+++ b/internal/team/account.go
@@ -239,9 +239,10 @@
 	}
 	b := a.buckets[v.Team]
 	if b == nil {
-		// An earlier account may have issued all that the bucket holds.
+		// An earlier account may have issued all that its bucket held, but nothing in
+		// the last maxLifetime before this one opened.
 		b = &bucket{quota: newest, levelAt: a.openAt}
-		b.level = -b.rate * smoothing.Seconds()
+		b.level = -b.rate * (smoothing - maxLifetime).Seconds()
 		if a.noPredecessor {
 			b.level = b.capacity()
 		}
