--- a/internal/team/account.go
+++ b/internal/team/account.go
@@ -8,7 +8,7 @@
 
 const (
 	// mandateAge is how long an account goes on after its ledger was the newest. It
-	// equals ownership.MaxLedgerAge.
+	// covers the switch to another source of the ledger.
 	mandateAge = 2 * time.Second
 	// asOfError bounds the error of the time at which a copy was the newest.
 	asOfError = 600 * time.Millisecond
--- a/internal/team/quota_test.go
+++ b/internal/team/quota_test.go
@@ -196,6 +196,21 @@
 	})
 }
 
+// Guards against a quota that is exceeded while what VMs read of the store is old, as
+// when leaders change often.
+func TestQuotaWhenTheStoreIsSlow(t *testing.T) {
+	faulty(t, 9, func(w *world) {
+		w.store.slow = true
+		for range 5 {
+			v := w.leaderVM()
+			v.group = 1
+			w.run(w.between(time.Second, 10*time.Second))
+			v.group = 0
+		}
+		w.store.slow = false
+	})
+}
+
 // Guards against two accounts when the store comes back with an earlier leader.
 func TestQuotaWhenTheStoreIsOlder(t *testing.T) {
 	faulty(t, 9, func(w *world) {
--- a/internal/team/world_test.go
+++ b/internal/team/world_test.go
@@ -27,6 +27,7 @@
 	vms    []*worldVM
 	store  struct {
 		down     bool
+		slow     bool
 		group    int // the partition that reaches the store
 		leader   leaderID
 		previous leaderID
@@ -208,7 +209,11 @@
 		}
 	}
 	view := r.View()
-	w.after(w.between(0, 300*time.Millisecond), func() {
+	longest := 300 * time.Millisecond
+	if w.store.slow {
+		longest = 4 * time.Second
+	}
+	w.after(w.between(0, longest), func() {
 		w.on(v, i, func() {
 			if next < v.next {
 				return
