--- a/internal/balance/digest.go
+++ b/internal/balance/digest.go
@@ -99,7 +99,7 @@
 func (b *Balancer) admitted(now core.Instant, t *target, req SelectTarget) bool {
 	a := &t.digested.admission
 	weight := t.digested.weight(now)
-	if a.perSecond <= 0 || weight <= 0 || req.Priority > 0 || t.announced.RateLimit > 0 || !b.loadControlled(t) {
+	if a.perSecond <= 0 || weight <= 0 || req.Priority > 0 || t.announced.RateLimit > 0 || !b.exchanged(t) {
 		return true
 	}
 	a.refill(now, weight)
@@ -147,7 +147,7 @@
 // takeEntry takes over the entry of a target's process.
 func (b *Balancer) takeEntry(now, asOf core.Instant, e loadview.Entry) {
 	t := b.targets[e.Target]
-	if t == nil || t.StartedAt != e.StartedAt || !b.loadControlled(t) {
+	if t == nil || t.StartedAt != e.StartedAt || !b.exchanged(t) {
 		return
 	}
 	if e.Removed {
@@ -156,9 +156,7 @@
 	}
 	t.digested.at, t.digested.generation = asOf, b.exchange.generation
 	t.digested.admission.set(now, e.Admit, b.random)
-	// Where there is a choice, all VMs would send to the target that the same digest
-	// shows as idle.
-	if l := e.Load; l != nil && b.services[t.Service].Sharded {
+	if l := e.Load; l != nil {
 		if at := asOf.Add(-l.Age); t.load == nil || at.After(t.loadAt) {
 			t.recordLoad(at, &TargetLoad{Running: l.Running, Waiting: l.Waiting, Slots: e.Slots, Slowdown: l.Slowdown})
 		}
--- a/internal/balance/exchange.go
+++ b/internal/balance/exchange.go
@@ -49,9 +49,12 @@
 	return nil
 }
 
-// loadControlled reports whether load control is on for the target's service.
-func (b *Balancer) loadControlled(t *target) bool {
-	return b.services[t.Service].LoadControl
+// exchanged reports whether the target is part of the exchange: its service is under
+// load control, and its keys leave no choice of another target. Where there is a
+// choice, all VMs would send to the targets that the same digest shows as best.
+func (b *Balancer) exchanged(t *target) bool {
+	s := b.services[t.Service]
+	return s.LoadControl && s.Sharded
 }
 
 // countDemand counts a request for the chosen target, or for the one that caused its
@@ -60,7 +63,7 @@
 	if t == nil && d.Verdict == Reject {
 		t = b.targets[d.Target.ID]
 	}
-	if t != nil && b.loadControlled(t) {
+	if t != nil && b.exchanged(t) {
 		t.observed.demand++
 	}
 }
@@ -69,7 +72,7 @@
 // rate limit and an admission require.
 func (b *Balancer) countSent(now core.Instant, t *target) {
 	t.rateLimiter.take(now)
-	if !b.loadControlled(t) {
+	if !b.exchanged(t) {
 		return
 	}
 	t.observed.sent++
@@ -78,7 +81,7 @@
 
 // countResult adds the result of an attempt, after its load report was recorded.
 func (b *Balancer) countResult(now core.Instant, t *target, m AttemptDone) {
-	if !b.loadControlled(t) {
+	if !b.exchanged(t) {
 		return
 	}
 	o := &t.observed
@@ -110,10 +113,10 @@
 		out.Report.Leader, out.Report.Have = b.exchange.leader, b.exchange.sequence
 	}
 	for id, t := range b.targets {
-		if !b.loadControlled(t) {
+		if !b.exchanged(t) {
 			continue
 		}
-		if (t.unreachable || t.replaced) && b.services[t.Service].Sharded {
+		if t.unreachable || t.replaced {
 			out.Unreachable = append(out.Unreachable, id)
 		}
 		if !t.observed.empty() {
--- a/internal/configcheck/diff.go
+++ b/internal/configcheck/diff.go
@@ -2,18 +2,21 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // Diff returns a line for each difference of a configuration from an earlier one.
-// Routes and services are compared by name. Their order isn't compared.
+// Routes, services and teams are compared by name. Their order isn't compared.
 func Diff(from, to *routing.Config) []string {
 	out := changes("configuration", configFields(from), configFields(to))
 	out = append(out, changes("limits", limitFields(from.Limits), limitFields(to.Limits))...)
 	out = append(out, diffLists("route", from.Routes, to.Routes, func(r routing.Route) string { return r.Name }, routeFields)...)
-	return append(out, diffLists("service", from.Services, to.Services, func(s routing.Service) string { return string(s.Name) }, serviceFields)...)
+	out = append(out, diffLists("service", from.Services, to.Services, func(s routing.Service) string { return string(s.Name) }, serviceFields)...)
+	return append(out, diffTeams(from.Teams, to.Teams)...)
 }
 
 // field is a value as it is shown.
@@ -41,6 +44,7 @@
 		newField("host", r.Host), newField("prefix", r.Prefix), newField("may run more than once", r.Idempotent),
 		newField("timeout", r.Timeout), newField("latency objective", r.LatencyObjective), newField("priority", r.Priority),
 		newField("backends", strings.Join(backends, " ")), newField("attempts", r.MaxAttempts),
+		newField("anonymous", r.Anonymous),
 	}
 }
 
@@ -51,6 +55,40 @@
 	}
 }
 
+// diffTeams compares teams. Keys are counted, as they must not be shown.
+func diffTeams(from, to []team.Team) []string {
+	out := diffLists("team", from, to, func(t team.Team) string { return t.Name }, teamFields)
+	old := make(map[string][]team.Key)
+	for _, t := range from {
+		old[t.Name] = t.Keys
+	}
+	for _, t := range to {
+		keys, known := old[t.Name]
+		added, removed := missing(t.Keys, keys), missing(keys, t.Keys)
+		if known && added+removed > 0 {
+			out = append(out, fmt.Sprintf("team %q: keys added %d, removed %d", t.Name, added, removed))
+		}
+	}
+	return out
+}
+
+// missing returns how many of the keys aren't among others.
+func missing(keys, others []team.Key) int {
+	n := 0
+	for _, k := range keys {
+		if !slices.Contains(others, k) {
+			n++
+		}
+	}
+	return n
+}
+
+func teamFields(t team.Team) []field {
+	return []field{
+		newField("priority", t.Priority), newField("has a priority", t.HasPriority), newField("rate", t.Rate), newField("burst", t.Burst),
+	}
+}
+
 // changes returns a line for each field that differs.
 func changes(what string, from, to []field) []string {
 	var out []string
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -13,6 +13,7 @@
 	"celeryhook.example/celeryhook/internal/cost"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 const (
@@ -47,6 +48,13 @@
 	// patience is how long the caller said that it waits, or 0.
 	patience time.Duration
 	deadline core.Instant
+	// team is the team that sent the request, or nil.
+	team *team.Team
+	// teamVersion is the version of the configuration that the team is from, and
+	// permit a permit under which nothing was sent.
+	teamVersion  int64
+	permit       *team.Permit
+	quotaCounted bool
 
 	// suspected is set if targets have ended while they had the same request.
 	suspected   bool
@@ -108,6 +116,9 @@
 	for _, name := range callerHeaders {
 		parts = append(parts, []byte(strings.Join(r.header.Values(name), "\x00")))
 	}
+	if r.team != nil {
+		parts = append(parts, []byte(r.team.Name))
+	}
 	return quarantine.NewFingerprint(parts...)
 }
 
@@ -139,6 +150,9 @@
 	if r.rule = table.Find(r.httpRequest.Host, path); r.rule == nil {
 		return &rejection{status: http.StatusNotFound, reason: "no-route"}
 	}
+	if rejection := r.identify(table); rejection != nil {
+		return rejection
+	}
 	r.service = r.rule.Pick()
 	service, _ := table.Service(r.service)
 	r.loadControl = service.LoadControl
@@ -156,6 +170,7 @@
 	}
 	r.deadline = r.startedAt.Add(timeout)
 	r.header = forwardedHeader(r.httpRequest.Header, r.Headers)
+	r.setIdentityHeaders(table)
 	if _, ok := r.admit(r.deadline); !ok {
 		return stopRejection()
 	}
@@ -167,7 +182,7 @@
 	if r.deadline, ok = r.admit(r.deadline); !ok {
 		return stopRejection()
 	}
-	return nil
+	return r.identifyAgain()
 }
 
 // readBody reads the complete body, so that a target never receives part of a
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -16,6 +16,7 @@
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/replica"
 	"celeryhook.example/celeryhook/internal/ring"
+	"celeryhook.example/celeryhook/internal/team"
 )
 
 // maxSyncWait is the longest time for which a Sync is held.
@@ -31,6 +32,8 @@
 	store    replica.Store
 	// loadview is nil if observations aren't aggregated.
 	loadview *ring.Ring[loadview.Message]
+	// account is nil if ServeQuotas was not called.
+	account *ring.Ring[team.Message]
 }
 
 // NewServer returns a server that passes requests to the duties over their rings
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -70,7 +70,8 @@
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
-	meshServer := mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform).WithLoadView(n.exchange.ring)
+	meshServer := mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform).
+		WithLoadView(n.exchange.ring).ServeQuotas(n.accountRing)
 	meshHandler := mesh.NewHandler(meshServer)
 	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
 		return err
@@ -134,6 +135,9 @@
 // the targets and the owners, and isn't stopping.
 func (n *Process) checkReady(context.Context) {
 	ready, reason := n.readiness()
+	if ready {
+		n.wasReady.Store(true)
+	}
 	if n.ready.Swap(ready) != ready {
 		n.log.Info("readiness changed", "ready", ready, "reason", reason)
 	}
@@ -150,6 +154,8 @@
 		return false, "no targets"
 	case n.owners.Load() == nil:
 		return false, "no ledger"
+	case n.awaitsAccount(table):
+		return false, "no account of the teams"
 	}
 	owners := n.owners.Load()
 	for name, s := range table.Services() {
