ingress: one memory account, and bounds on what callers may hold

Callers could make a VM exit: heads of very many lines, data read ahead of each connection (64 KiB, also with 3,075 connections) and large bodies at once exceeded its memory, and connections its descriptors.

internal/memory accounts for connections, heads, data read ahead, request bodies and responses. Its limit follows memoryMb of the settings, as does that of the Go runtime; connections and requests in progress follow maxFds. A body without room is rejected with 503 before it is read. Bodies are no longer copied for each attempt. Lines of a head, empty lines and the time to write a response are bounded.

Two existing tests of upstream now use the account in place of the counter; they also check that nothing stays held.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,12 +8,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"celeryhook.example/celeryhook/internal/memory"
 )
 
 const (
 	// readChunkSize and maxChunksAhead bound the memory for data that is read
 	// ahead of the HTTP server: about 64 KiB for each connection, which is enough
-	// for pipelined requests and little enough for thousands of connections.
+	// for pipelined requests. Beyond the first chunk, the memory account must have
+	// room: 64 KiB for each of 3,075 connections are more than a small VM has.
 	readChunkSize  = 4 << 10
 	maxChunksAhead = 16
 )
@@ -33,6 +36,15 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	readDeadline deadline
+	// held is what the connection holds of the memory account.
+	held *memory.Charge
+	// taken is signalled when a chunk was taken from chunks.
+	taken chan struct{}
+	// extra is the number of chunks ahead that are part of held.
+	extra atomic.Int64
+	head  headReader
+	// onClose is called once when the connection is closed.
+	onClose func()
 	// busy is set while a request is in progress on the connection.
 	busy atomic.Bool
 	// mu serialises the arrival of data and the decision to close an idle
@@ -43,8 +55,13 @@
 	lastUsed time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	n := &conn{Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{})}
+// newConn returns a connection that holds memory of the charge, which it releases
+// when it is closed.
+func newConn(c net.Conn, held *memory.Charge, onClose func()) *conn {
+	n := &conn{
+		Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{}), held: held, taken: make(chan struct{}, 1), onClose: onClose,
+	}
+	n.head.begin()
 	n.readDeadline.expired = make(chan struct{})
 	n.lastUsed = time.Now()
 	return n
@@ -72,6 +89,13 @@
 	return true
 }
 
+// idleSince returns when the connection was last used, and whether it is idle and open.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastUsed, !c.closing && !c.busy.Load() && len(c.chunks) == 0
+}
+
 // startReading starts the goroutine that reads ahead. It calls cancel when the
 // connection ends.
 func (c *conn) startReading(cancel context.CancelCauseFunc) {
@@ -81,7 +105,7 @@
 
 func (c *conn) readLoop() {
 	defer close(c.chunks)
-	for {
+	for c.awaitRoom() {
 		b := make([]byte, readChunkSize)
 		n, err := c.Conn.Read(b)
 		if n > 0 {
@@ -102,15 +126,64 @@
 	}
 }
 
+// awaitRoom waits until there is room for another chunk. It reports false if the
+// connection was closed. While it waits, the end of the connection isn't detected.
+func (c *conn) awaitRoom() bool {
+	for len(c.chunks) > 0 {
+		if c.held.AddSpare(readChunkSize) {
+			c.extra.Add(1)
+			return true
+		}
+		select {
+		case <-c.taken:
+		case <-c.done:
+			return false
+		}
+	}
+	return true
+}
+
+// chunkTaken releases the memory of a chunk that was taken from chunks.
+func (c *conn) chunkTaken() {
+	if c.extra.Add(-1) >= 0 {
+		c.held.Sub(readChunkSize)
+	} else {
+		c.extra.Add(1)
+	}
+	select {
+	case c.taken <- struct{}{}:
+	default:
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	if len(c.unread) == 0 {
-		if err := c.fill(); err != nil {
+	// A read of one byte only detects the end of the connection while a request is
+	// in progress.
+	if len(b) > 1 {
+		if err := c.head.check(); err != nil {
 			return 0, err
 		}
 	}
+	for {
+		if len(c.unread) == 0 {
+			if err := c.fill(); err != nil {
+				return 0, err
+			}
+		}
+		c.unread = c.head.skipEmptyLines(c.unread)
+		if err := c.head.checkEmptyLines(); err != nil {
+			return 0, err
+		}
+		if len(c.unread) > 0 {
+			break
+		}
+	}
 	n := copy(b, c.unread)
 	c.unread = c.unread[n:]
+	if cost := c.head.read(b[:n]); cost > 0 && !c.held.Add(cost) {
+		return 0, errMemoryFull
+	}
 	return n, nil
 }
 
@@ -132,9 +205,21 @@
 	if !ok {
 		return c.err
 	}
+	c.chunkTaken()
 	return nil
 }
 
+// beginHead is called before the head of a request is read.
+func (c *conn) beginHead() { c.head.begin() }
+
+// endHead is called when the head of a request was read. What the request holds from
+// now on is accounted for by its handler.
+func (c *conn) endHead() {
+	for _, cost := range c.head.end() {
+		c.held.Sub(cost)
+	}
+}
+
 // SetReadDeadline implements net.Conn. The deadline applies to Read, not to the
 // goroutine that reads ahead.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -150,7 +235,11 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.closeOnce.Do(func() { close(c.done) })
+	c.closeOnce.Do(func() {
+		close(c.done)
+		c.held.Release()
+		c.onClose()
+	})
 	return c.Conn.Close()
 }
 
@@ -163,63 +252,6 @@
 	return nil
 }
 
-// deadline provides a channel that is closed once the deadline has passed.
-type deadline struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	expired chan struct{}
-}
-
-func (d *deadline) done() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.expired
-}
-
-func (d *deadline) set(t time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.timer != nil && !d.timer.Stop() {
-		<-d.expired
-	}
-	d.timer = nil
-	closed := false
-	select {
-	case <-d.expired:
-		closed = true
-	default:
-	}
-	if t.IsZero() {
-		if closed {
-			d.expired = make(chan struct{})
-		}
-		return
-	}
-	if remaining := time.Until(t); remaining > 0 {
-		if closed {
-			d.expired = make(chan struct{})
-		}
-		expired := d.expired
-		d.timer = time.AfterFunc(remaining, func() { close(expired) })
-		return
-	}
-	if !closed {
-		close(d.expired)
-	}
-}
-
-// listener wraps accepted connections as *conn.
-type listener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c), nil
-}
-
 type connKey struct{}
 
 // connContext starts reading ahead and returns a context that is cancelled when
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -177,7 +177,7 @@
 	out := &upstream.Request{
 		Address: d.Target.Address, Service: string(r.service), Target: string(d.Target.ID), ID: r.id,
 		Method: r.httpRequest.Method, URI: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: r.header, Body: r.body,
-		Timeout: r.deadline.Sub(r.Clock()), MaxIdle: d.Target.MaxConnections,
+		Timeout: r.deadline.Sub(r.Clock()), MaxIdle: d.Target.MaxConnections, Held: r.held,
 	}
 	go func() {
 		ctx, span := r.Tracer.Start(ctx, "attempt", trace.WithAttributes(attribute.String("target", out.Target)))
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -145,6 +145,11 @@
 }
 
 func newFixture(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
+	return newFixtureWith(t, do, func(*Server) {})
+}
+
+// newFixtureWith changes the server before it listens.
+func newFixtureWith(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error), change func(*Server)) *fixture {
 	f := &fixture{balancer: &balancer{}, exchanger: &exchanger{do: do}, quarantine: &suspects{}}
 	routes := &routing.ActiveTable{}
 	backend := []routing.Backend{{Service: "s", Weight: 1}}
@@ -164,6 +169,7 @@
 		Routes: routes, Balancer: f.balancer, Quarantine: f.quarantine, Upstream: f.exchanger, Headers: testHeaders, Clock: duty.NewClock(),
 		Log: logr.Discard(), Metrics: observe.NewMetrics(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
+	change(f.Server)
 	is.New(t).NoErr(f.Listen("127.0.0.1:0"))
 	f.address = f.listener.Addr().String()
 	go func() { _ = f.Serve() }()
--- /dev/null
+++ b/internal/ingress/limits_test.go
@@ -0,0 +1,310 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/memory"
+	"celeryhook.example/celeryhook/internal/upstream"
+)
+
+const requestStart = "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+
+// headOf returns a request whose header has the given number of lines beside Host.
+func headOf(lines int) string {
+	return requestStart + strings.Repeat("a:\r\n", lines-1) + "\r\n"
+}
+
+// exchangeRaw sends bytes and returns the statuses of up to n responses.
+func exchangeRaw(t *testing.T, f *fixture, n int, pieces ...string) (statuses []int) {
+	is := is.New(t)
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	go func() {
+		for _, p := range pieces {
+			if _, err := io.WriteString(c, p); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond) // the pieces arrive one by one
+		}
+	}()
+	r := bufio.NewReader(c)
+	for range n {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return statuses
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		statuses = append(statuses, res.StatusCode)
+	}
+	return statuses
+}
+
+// waitUntilReleased waits until nothing is held of the account.
+func (f *fixture) waitUntilReleased(t *testing.T) {
+	for end := time.Now().Add(10 * time.Second); f.Memory.Used() != 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still held", f.Memory.Used())
+		}
+	}
+}
+
+// Guards against a bound on the lines of a head that rejects a head of just this many,
+// counts other lines, or doesn't hold.
+func TestLinesOfAHeadAreBounded(t *testing.T) {
+	body := "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4000\r\n\r\n" + strings.Repeat("\n", 4000)
+	for name, c := range map[string]struct {
+		pieces   []string
+		statuses []int
+	}{
+		"most lines":          {[]string{headOf(maxHeadLines)}, []int{200}},
+		"one more":            {[]string{headOf(maxHeadLines + 1)}, []int{431}},
+		"many more":           {[]string{headOf(15000)}, []int{400}},
+		"one by one":          {[]string{headOf(900), headOf(900), headOf(900)}, []int{200, 200, 200}},
+		"pipelined":           {[]string{headOf(900) + headOf(900) + headOf(900)}, []int{200, 200, 200}},
+		"pipelined, too many": {[]string{headOf(900) + headOf(1500) + headOf(900)}, []int{200, 400}},
+		"lines of a body":     {[]string{body + body + headOf(900)}, []int{200, 200, 200}},
+		"end of the head in another piece": {
+			[]string{headOf(10) + strings.TrimSuffix(headOf(900), "\r\n"), "\r\n" + headOf(900)},
+			[]int{200, 200, 200},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, nil)
+			is.Equal(exchangeRaw(t, f, 3, c.pieces...), c.statuses)
+			f.waitUntilReleased(t)
+		})
+	}
+}
+
+// Guards against empty lines without end before a request, and against a rejection of
+// the few that old clients send.
+func TestEmptyLinesAreBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		start    string
+		statuses []int
+	}{
+		"most":        {strings.Repeat("\r\n", maxEmptyLines), []int{200}},
+		"one more":    {strings.Repeat("\r\n", maxEmptyLines+1), []int{400}},
+		"line feeds":  {strings.Repeat("\n", maxEmptyLines), []int{200}},
+		"without end": {strings.Repeat("\r\n", 1<<20), []int{400}},
+	} {
+		for _, split := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", in pieces ", split), func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, nil)
+				pieces := []string{c.start + headOf(3)}
+				if split {
+					pieces = []string{c.start, headOf(3)}
+				}
+				is.Equal(exchangeRaw(t, f, 1, pieces...), c.statuses)
+				f.waitUntilReleased(t)
+			})
+		}
+	}
+}
+
+// Guards against bodies that together exceed the memory of a VM: a body without room
+// is rejected before it is read, and the largest one is served while nothing else is
+// held.
+func TestBodiesShareMemory(t *testing.T) {
+	const largest = 1 << 20 // of the fixture's configuration
+	for name, contentLength := range map[string]bool{"known length": true, "unknown length": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			wait := make(chan struct{})
+			f := newFixtureWith(t, func(ctx context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+				if r.ID == "waits" {
+					<-wait
+				}
+				return success(r), nil
+			}, func(s *Server) { s.Memory = memory.NewAccount(largest*5/4 + 4*connBytes) })
+			post := func(id string, size int) *http.Response {
+				var body io.Reader = bytes.NewReader(make([]byte, size))
+				if !contentLength {
+					body = io.MultiReader(body)
+				}
+				req, err := http.NewRequest(http.MethodPost, "http://"+f.address+"/long/x", body)
+				is.NoErr(err)
+				req.Host = "h"
+				req.Header.Set("Id", id)
+				res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+				is.NoErr(err)
+				_ = res.Body.Close()
+				return res
+			}
+			for i := range 3 {
+				is.Equal(post(fmt.Sprint(i), largest).StatusCode, 200)
+			}
+			ended := make(chan int)
+			go func() { ended <- post("waits", largest).StatusCode }()
+			for f.exchanger.count() < 4 {
+				time.Sleep(time.Millisecond)
+			}
+			res := post("second", largest)
+			is.Equal(res.StatusCode, 503)
+			is.True(res.Header.Get("Retry-After") != "")
+			is.Equal(res.Header.Get("Id"), "second")
+			is.Equal(f.exchanger.count(), 4) // nothing of it was sent
+			is.Equal(post("small", 100).StatusCode, 200)
+			close(wait)
+			is.Equal(<-ended, 200)
+			f.waitUntilReleased(t)
+		})
+	}
+}
+
+// Guards against a body that is read although it doesn't fit.
+func TestBodyWithoutRoomIsNotRead(t *testing.T) {
+	is := is.New(t)
+	f := newFixtureWith(t, nil, func(s *Server) { s.Memory = memory.NewAccount(3 * connBytes) })
+	is.Equal(exchangeRaw(t, f, 1, "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 1000000\r\n\r\n"), []int{503})
+	is.Equal(exchangeRaw(t, f, 1, headOf(2)), []int{200})
+	f.waitUntilReleased(t)
+}
+
+// Guards against a body that breaks off and is taken for a complete one.
+func TestBodyThatBreaksOffIsNotSent(t *testing.T) {
+	const start = "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+	for _, framing := range []string{"Content-Length: 10\r\n\r\nfirst", "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n", "Transfer-Encoding: chunked\r\n\r\n9\r\nfirst"} {
+		is := is.New(t)
+		f := newFixture(t, nil)
+		c, err := net.Dial("tcp", f.address)
+		is.NoErr(err)
+		_, err = io.WriteString(c, start+framing)
+		is.NoErr(err)
+		is.NoErr(c.(*net.TCPConn).CloseWrite())
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+		is.Equal(f.exchanger.count(), 0)
+		f.waitUntilReleased(t)
+	}
+}
+
+// Guards against connections that together exceed the descriptors: beyond the limit,
+// idle ones are closed, and others keep what they have.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	wait := make(chan struct{})
+	const maxConns = 4
+	f := newFixtureWith(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		<-wait
+		return success(r), nil
+	}, func(s *Server) { s.limits = limits{conns: maxConns, requests: maxConns, crowded: 2} })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", f.address)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	closed := func(c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := c.Read(make([]byte, 1))
+		netErr, ok := err.(net.Error)
+		return err != nil && (!ok || !netErr.Timeout())
+	}
+	var busy []net.Conn
+	for range maxConns - 1 {
+		c := dial()
+		_, err := io.WriteString(c, headOf(2))
+		is.NoErr(err)
+		busy = append(busy, c)
+	}
+	idle := dial()
+	for f.exchanger.count() < maxConns-1 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(closed(dial())) // none is idle for long enough
+	time.Sleep(2 * minIdleTime)
+	dial()
+	is.True(closed(idle))
+	is.True(closed(dial()))
+	close(wait)
+	for _, c := range busy {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, 200)
+	}
+	is.Equal(f.openConns.Load(), int64(maxConns))
+}
+
+// Guards against data read ahead for many connections that together exceeds the memory
+// of a VM, and against a connection that isn't read on once there is room.
+func TestReadAheadDependsOnTheAccount(t *testing.T) {
+	is := is.New(t)
+	wait := make(chan struct{})
+	const requests = 2000
+	f := newFixtureWith(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		<-wait
+		return success(r), nil
+	}, func(s *Server) { s.Memory = memory.NewAccount(4 * connBytes) })
+	held := f.Memory.NewCharge()
+	is.True(held.Add(2 * connBytes))
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	go func() { _, _ = io.WriteString(c, strings.Repeat(headOf(2), requests)) }()
+	for f.exchanger.count() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond) // the connection is read ahead meanwhile
+	is.True(f.Memory.Used() < 3*connBytes+2*readChunkSize)
+	held.Release()
+	close(wait)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	r := bufio.NewReader(c)
+	for range requests {
+		res, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+	_ = c.Close()
+	f.waitUntilReleased(t)
+}
+
+// Guards against requests in progress, each with a connection to a target, that exceed
+// the descriptors.
+func TestRequestsInProgressAreBounded(t *testing.T) {
+	is := is.New(t)
+	wait := make(chan struct{})
+	f := newFixtureWith(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		<-wait
+		return success(r), nil
+	}, func(s *Server) { s.limits.requests = 1 })
+	first := make(chan []int)
+	go func() { first <- exchangeRaw(t, f, 1, headOf(2)) }()
+	for f.exchanger.count() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(exchangeRaw(t, f, 1, headOf(2)), []int{503})
+	close(wait)
+	is.Equal(<-first, []int{200})
+	is.Equal(exchangeRaw(t, f, 1, headOf(2)), []int{200})
+	is.Equal(f.exchanger.count(), 2)
+}
+
+// Guards against limits that leave no room for connections to targets, or that a small
+// deployment reaches in ordinary use.
+func TestLimitsFollowTheSettings(t *testing.T) {
+	is := is.New(t)
+	smallest := newLimits(memory.Limit(144_000_000), 3075)
+	is.True(smallest.conns+2*smallest.requests <= 3075)
+	is.True(smallest.conns > 500)
+	is.True(smallest.requests > 500)
+	is.True(smallest.conns*connBytes <= memory.Limit(144_000_000)/2)
+	unknown := newLimits(memory.DefaultLimit, 0)
+	is.True(unknown.conns > 10000)
+}
--- /dev/null
+++ b/internal/ingress/listener.go
@@ -0,0 +1,85 @@
+package ingress
+
+import (
+	"net"
+	"sync/atomic"
+
+	"celeryhook.example/celeryhook/internal/memory"
+	"celeryhook.example/celeryhook/internal/observe"
+)
+
+const (
+	// connBytes is the memory in bytes of a connection: two goroutines, their buffers
+	// of 4 KiB for reading, reading ahead and writing, and its context, about 32 KiB;
+	// and as much of the kernel's receive buffer as crowdedReadBuffer allows.
+	connBytes = 48 << 10
+	// crowdedReadBuffer is the size in bytes of the receive buffer of a connection that
+	// is accepted while connections hold over a part of the account.
+	crowdedReadBuffer = 16 << 10
+	crowdedDivisor    = 8
+	// connShare is the divisor for the part of the account that connections may hold.
+	connShare = 2
+	// defaultMaxConns applies if the number of descriptors isn't known.
+	defaultMaxConns = 16384
+	// fdShare and requestShare are the divisors for the parts of the descriptors that
+	// connections of callers and requests in progress may take. Each request in progress
+	// takes a connection to a target; the rest is for idle connections to targets,
+	// hedges, other VMs and the store.
+	fdShare, requestShare = 2, 4
+)
+
+// limits bound what callers may hold.
+type limits struct {
+	// conns and requests are the connections and the requests in progress at a time.
+	conns, requests int64
+	// crowded is the number of connections from which receive buffers are small.
+	crowded int64
+}
+
+func newLimits(account, maxFDs int64) limits {
+	l := limits{conns: defaultMaxConns, requests: defaultMaxConns}
+	if maxFDs > 0 {
+		l.conns, l.requests = max(1, maxFDs/fdShare), max(1, maxFDs/requestShare)
+	}
+	l.conns = max(1, min(l.conns, account/connShare/connBytes))
+	l.crowded = account / crowdedDivisor / connBytes
+	return l
+}
+
+// listener wraps accepted connections as *conn. If there is no room for another, it
+// closes an idle connection, or the new one.
+type listener struct {
+	net.Listener
+	memory  *memory.Account
+	metrics *observe.Metrics
+	limits  limits
+	open    *atomic.Int64
+	// makeRoom closes an idle connection and reports whether there was one.
+	makeRoom func() bool
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		held := l.memory.NewCharge()
+		open := l.open.Add(1)
+		if open > l.limits.conns && l.makeRoom() {
+			open = l.open.Load()
+		}
+		if open > l.limits.conns || !held.Add(connBytes) {
+			l.open.Add(-1)
+			held.Release()
+			l.metrics.Count("connections_rejected")
+			_ = c.Close()
+			continue
+		}
+		if t, ok := c.(*net.TCPConn); ok && open > l.limits.crowded {
+			_ = t.SetReadBuffer(crowdedReadBuffer) // without it, the kernel's default applies
+		}
+		return newConn(c, held, func() { l.open.Add(-1) }), nil
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 )
@@ -31,14 +31,16 @@
 	httpRequest *http.Request
 	// ctx ends when the caller closes the connection, the deadline passes or the VM
 	// has to stop.
-	ctx       context.Context
-	id        string
-	rule      *routing.Rule
-	version   int64
-	service   core.Service
-	keyed     bool
-	key       uint16
-	body      []byte
+	ctx     context.Context
+	id      string
+	rule    *routing.Rule
+	version int64
+	service core.Service
+	keyed   bool
+	key     uint16
+	body    []byte
+	// held is what the request holds of the memory account until it ends.
+	held      *memory.Charge
 	header    http.Header
 	startedAt core.Instant
 	deadline  core.Instant
@@ -64,12 +66,19 @@
 
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, httpRequest *http.Request) {
-	r := &request{Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock()}
-	s.inProgress.Add(1)
+	r := &request{
+		Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock(), held: s.Memory.NewCharge(), id: httpRequest.Header.Get(s.Headers.RequestID),
+	}
+	defer r.held.Release()
+	inProgress := s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	ctx, span := s.Tracer.Start(httpRequest.Context(), "request")
 	defer span.End()
-	if rejection := r.prepare(); rejection != nil {
+	rejection := r.checkRoom(inProgress)
+	if rejection == nil {
+		rejection = r.prepare()
+	}
+	if rejection != nil {
 		r.reject(rejection)
 		return
 	}
@@ -85,7 +94,7 @@
 		a := s.Quarantine.Admit(r.fingerprint())
 		r.suspected = a.Suspected
 		if a.Held {
-			r.reject(&rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: a.Until.Sub(s.Clock())})
+			r.reject(quarantineRejection(a.Until.Sub(s.Clock())))
 			return
 		}
 		if a.Done != nil {
@@ -116,10 +125,37 @@
 	retryAfter time.Duration
 }
 
+// quarantineRejection refuses a request that may end targets.
+func quarantineRejection(retryAfter time.Duration) *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: retryAfter}
+}
+
+// memoryRejection refuses a request for which there is no memory.
+func memoryRejection() *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter}
+}
+
+// checkRoom rejects a request whose head has too many lines, or for which there is no
+// room. Its argument is the number of requests in progress, this one included.
+func (r *request) checkRoom(inProgress int64) *rejection {
+	lines, cost := headSize(r.httpRequest)
+	switch {
+	case lines > maxHeadLines:
+		r.w.Header().Set("Connection", "close")
+		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "too-many-lines"}
+	case inProgress > r.limits.requests:
+		r.w.Header().Set("Connection", "close")
+		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter}
+	case !r.held.Add(cost):
+		r.w.Header().Set("Connection", "close")
+		return memoryRejection()
+	}
+	return nil
+}
+
 // prepare finds the route, determines the deadline and reads the complete
 // request.
 func (r *request) prepare() *rejection {
-	r.id = r.httpRequest.Header.Get(r.Headers.RequestID)
 	table := r.Routes.Table()
 	if table == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: noConfigRetryAfter}
@@ -174,10 +210,14 @@
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
+	if n := r.httpRequest.ContentLength; n > 0 && !r.held.Add(n) {
+		r.w.Header().Set("Connection", "close")
+		return memoryRejection()
+	}
 	endRead := func() { _ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0)) }
 	timer := time.AfterFunc(r.deadline.Sub(r.Clock()), endRead)
 	cancelEndRead := context.AfterFunc(r.requests, endRead)
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit))
+	body, err := readAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit), r.httpRequest.ContentLength, limit, r.held)
 	inTime, running := timer.Stop(), cancelEndRead()
 	if !inTime || !running || err != nil {
 		r.w.Header().Set("Connection", "close")
@@ -187,6 +227,8 @@
 			return stopRejection()
 		case !inTime:
 			return &rejection{status: http.StatusRequestTimeout, reason: "body-incomplete"}
+		case errors.Is(err, errBodyMemory):
+			return memoryRejection()
 		case errors.As(err, &large):
 			return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 		}
@@ -195,6 +237,3 @@
 	r.body = body
 	return nil
 }
-
-// defaultMaxBodyBytes bounds a body if the configuration sets no limit.
-const defaultMaxBodyBytes = 64 << 20
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -16,6 +16,10 @@
 // as when it is overloaded.
 const overloadRetryAfter = 200 * time.Millisecond
 
+// responseTimeout bounds the write of a response. The largest takes 13 s on a link of
+// 10 Mbit/s.
+const responseTimeout = 30 * time.Second
+
 // writeResponse forwards a target's response unchanged.
 func (r *request) writeResponse(a *attempt) {
 	h := r.w.Header()
@@ -36,6 +40,8 @@
 	if r.plan.Load() != nil {
 		r.w.Header().Set("Connection", "close")
 	}
+	// A caller that doesn't read its response must not hold memory for ever.
+	_ = http.NewResponseController(r.w).SetWriteDeadline(time.Now().Add(responseTimeout)) // fails only if the connection is closed
 	r.w.WriteHeader(status)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/protocol"
 	"celeryhook.example/celeryhook/internal/quarantine"
@@ -75,6 +76,11 @@
 	Log        logr.Logger
 	Metrics    *observe.Metrics
 	Tracer     trace.Tracer
+	// Memory is the account of the process; nil means one with the default limit.
+	Memory *memory.Account
+	// MaxFDs is the number of descriptors that the process may open; 0 means that it
+	// isn't known.
+	MaxFDs int64
 }
 
 // Server is the HTTP server for callers.
@@ -89,6 +95,8 @@
 	requests    context.Context
 	endRequests context.CancelCauseFunc
 	inProgress  atomic.Int64
+	limits      limits
+	openConns   atomic.Int64
 	// responseMargin is a field for the tests.
 	responseMargin time.Duration
 	mu             sync.Mutex
@@ -98,6 +106,10 @@
 // NewServer returns a server that doesn't listen yet.
 func NewServer(o Options) *Server {
 	s := &Server{Options: o, conns: make(map[*conn]struct{}), responseMargin: responseMargin}
+	if s.Memory == nil {
+		s.Memory = memory.NewAccount(memory.DefaultLimit)
+	}
+	s.limits = newLimits(s.Memory.Limit(), s.MaxFDs)
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	router := gin.New()
 	router.RedirectTrailingSlash = false
@@ -132,12 +144,34 @@
 		delete(s.conns, n)
 	case http.StateActive:
 		n.busy.Store(true)
+		n.endHead()
+		_ = n.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	case http.StateIdle:
 		n.busy.Store(false)
+		n.beginHead()
 		n.markUsed()
 	}
 }
 
+// closeLongestIdle closes the connection that has been idle for longest, if it has been
+// for minIdleTime, and reports whether it did.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *conn
+	var since time.Time
+	for c := range s.conns {
+		if used, idle := c.idleSince(); idle && (longest == nil || used.Before(since)) {
+			longest, since = c, used
+		}
+	}
+	if longest == nil || !longest.closeIfIdle(minIdleTime) {
+		return false
+	}
+	s.Metrics.Count("connections_evicted")
+	return true
+}
+
 // Listen opens the listener for callers.
 func (s *Server) Listen(address string) error {
 	l, err := accept.Listen(address)
@@ -150,7 +184,9 @@
 
 // Serve accepts connections until Stop.
 func (s *Server) Serve() error {
-	err := s.server.Serve(listener{s.listener})
+	err := s.server.Serve(listener{
+		Listener: s.listener, memory: s.Memory, metrics: s.Metrics, limits: s.limits, open: &s.openConns, makeRoom: s.closeLongestIdle,
+	})
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("ingress: %w", err)
 	}
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/observe"
 )
@@ -67,6 +69,9 @@
 }
 
 func (n *Process) start(o Options) error {
+	if n.settings.Memory > 0 {
+		debug.SetMemoryLimit(memory.RuntimeLimit(n.settings.Memory))
+	}
 	if err := n.ingress.Listen(n.settings.CallersAddress); err != nil {
 		return err
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -15,6 +15,7 @@
 	"celeryhook.example/celeryhook/internal/discovery"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/ingress"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/mesh"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/ownership"
@@ -126,13 +127,14 @@
 		appends:        duty.NewPool("appends", 2, poolRingSize),
 	}
 	n.pool = upstream.NewPool(func() { m.Count("connections_opened") })
-	n.client = upstream.NewClient(n.pool, p.Headers())
+	account := memory.NewAccount(memory.Limit(s.Memory))
+	n.client = upstream.NewClient(n.pool, p.Headers(), account)
 	n.mesh = mesh.NewClient(clock)
 	n.readers = replica.NewReaders(p, n.replicaRing, clock, log)
 	n.follower = replica.NewFollower(n.source, n.replicaRing, clock, log)
 	n.ingress = ingress.NewServer(ingress.Options{
 		Routes: &n.routes, Balancer: &balancerClient{n}, Quarantine: &quarantineClient{n}, Upstream: n.client, Headers: p.Headers(),
-		Clock: clock, Log: log, Metrics: m, Tracer: tracer,
+		Clock: clock, Log: log, Metrics: m, Tracer: tracer, Memory: account, MaxFDs: s.MaxFDs,
 	})
 	for _, r := range []observe.Ring{n.replicaRing, n.discoveryRing, n.rosterRing, n.balanceRing, n.assignerRing, n.renewerRing, n.quarantineRing} {
 		m.Ring(r)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -38,6 +38,9 @@
 	FirstStart bool
 	// Capacity is the VM's processor time in cores.
 	Capacity float64
+	// Memory is the memory of the VM in bytes and MaxFDs the number of descriptors that
+	// the process may open; 0 means that they aren't known.
+	Memory, MaxFDs int64
 }
 
 // Platform is what a gateway VM needs from its platform. The platform adapter
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/internal/memory"
 )
 
 // endless writes the chunk to the connection until its peer closes it, and
@@ -89,14 +91,15 @@
 	body := strings.Repeat("x", 3*smallBodyBytes)
 	address, _ := startTarget(t, func(_ int, id string, c net.Conn) { _, _ = io.WriteString(c, response(id, body)) })
 	c := newClient()
-	c.memory.free.Store(4 * smallBodyBytes)
+	c.memory = memory.NewAccount(4 * smallBodyBytes)
 	for range 5 {
 		resp, err := send(c, address, "1")
 		is.NoErr(err)
 		is.Equal(len(resp.Body), len(body))
+		is.Equal(c.memory.Used(), int64(0))
 	}
-	c.memory.free.Store(smallBodyBytes)
+	c.memory = memory.NewAccount(smallBodyBytes)
 	_, err := send(c, address, "1")
 	is.True(errors.Is(err, ErrIncomplete))
-	is.Equal(c.memory.free.Load(), int64(smallBodyBytes))
+	is.Equal(c.memory.Used(), int64(0))
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/protocol"
 	"celeryhook.example/celeryhook/internal/transport"
 )
@@ -35,6 +36,9 @@
 	Timeout time.Duration
 	// MaxIdle bounds the number of idle connections to the target.
 	MaxIdle int
+	// Held is charged for the response's body. If it is nil, the memory of the body is
+	// held only until Do returns.
+	Held *memory.Charge
 }
 
 // Response is a target's complete response.
@@ -75,14 +79,16 @@
 type Client struct {
 	pool    *Pool
 	headers *protocol.Headers
-	memory  memory
+	memory  *memory.Account
 }
 
-// NewClient returns a client that uses the pool.
-func NewClient(p *Pool, h *protocol.Headers) *Client {
-	c := &Client{pool: p, headers: h}
-	c.memory.free.Store(bodyMemory)
-	return c
+// NewClient returns a client that uses the pool and the account of the process. If the
+// account is nil, it has one of its own.
+func NewClient(p *Pool, h *protocol.Headers, account *memory.Account) *Client {
+	if account == nil {
+		account = memory.NewAccount(bodyMemory)
+	}
+	return &Client{pool: p, headers: h, memory: account}
 }
 
 // Do sends a request and reads its response. When ctx ends, it closes the
@@ -127,7 +133,7 @@
 }
 
 func (c *Client) exchange(cn *conn, r *Request) (resp *Response, reusable bool, err error) {
-	if n, err := cn.Write(c.encode(r)); err != nil {
+	if n, err := c.write(cn, r); err != nil {
 		if n == 0 {
 			return nil, false, fmt.Errorf("%w: write: %w", ErrNotSent, err)
 		}
@@ -160,7 +166,12 @@
 		return nil, false, nil
 	}
 	cn.limit.remaining = maxResponseBytes + maxFramingBytes
-	body, err := c.memory.readBody(res.Body)
+	held := r.Held
+	if held == nil {
+		held = c.memory.NewCharge()
+		defer held.Release()
+	}
+	body, err := readBody(res, held)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: body: %w", ErrIncomplete, err)
 	}
@@ -205,10 +216,26 @@
 	return defaultIdleTimeout
 }
 
-// encode returns the bytes of a request.
+// maxCopiedBody is the largest body that is copied behind the head. Copies of larger
+// ones, one for each attempt, would exceed the memory of a small VM.
+const maxCopiedBody = 16 << 10
+
+// write writes a request and returns the number of bytes written.
+func (c *Client) write(cn *conn, r *Request) (int64, error) {
+	b := c.encode(r)
+	if len(r.Body) > maxCopiedBody {
+		parts := net.Buffers{b, r.Body}
+		return parts.WriteTo(cn.Conn)
+	}
+	n, err := cn.Write(b)
+	return int64(n), err
+}
+
+// encode returns the head of a request, followed by the body if that is at most
+// maxCopiedBody long.
 func (c *Client) encode(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxCopiedBody))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a bytes.Buffer returns no error
 	b.WriteString(c.headers.Deadline + ": " + c.headers.FormatDeadline(r.Timeout) + "\r\n")
@@ -217,7 +244,9 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	if len(r.Body) <= maxCopiedBody {
+		b.Write(r.Body)
+	}
 	return b.Bytes()
 }
 
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
+	"net/http"
+
+	"celeryhook.example/celeryhook/internal/memory"
 )
 
 const (
@@ -22,11 +24,15 @@
 	// maxFramingBytes bounds chunk sizes, chunk extensions and trailers in
 	// addition to the body: a response in chunks of 64 bytes still fits.
 	maxFramingBytes = maxHeadBytes + maxResponseBytes/8
-	// smallBodyBytes is the part of a body that isn't counted against the memory
-	// that large bodies share.
+	// smallBodyBytes is the part of a body that is read also if the memory account is
+	// full: the request may have run, and can't be rejected any more.
 	smallBodyBytes = 256 << 10
-	// bodyMemory is the memory that the large bodies of all exchanges share.
+	// bodyMemory is the memory for bodies of a client that has no account of the
+	// process.
 	bodyMemory = 48 << 20
+	// bufferFactor bounds the memory of a buffer that grows, as a multiple of what was
+	// read into it: it doubles, and the previous one is held while it is copied.
+	bufferFactor = 3
 )
 
 // errTooLong is returned by a read beyond the limit of a connection.
@@ -92,37 +98,49 @@
 	return nil
 }
 
-// memory is the memory that is left for large bodies. It is safe for concurrent
-// use.
-type memory struct{ free atomic.Int64 }
-
-// take reserves n bytes and reports whether they were free.
-func (m *memory) take(n int64) bool {
-	if m.free.Add(-n) >= 0 {
-		return true
+// readBody reads the complete body of a response. The memory for it must fit into the
+// charge.
+func readBody(res *http.Response, held *memory.Charge) ([]byte, error) {
+	switch {
+	case res.Body == http.NoBody:
+		return nil, nil
+	case res.ContentLength > maxResponseBytes:
+		return nil, fmt.Errorf("%w: over %d bytes", errTooLong, maxResponseBytes)
+	case res.ContentLength >= 0:
+		if err := holdBody(held, 0, res.ContentLength); err != nil {
+			return nil, err
+		}
+		b := make([]byte, res.ContentLength)
+		_, err := io.ReadFull(res.Body, b)
+		return b, err
 	}
-	m.free.Add(n)
-	return false
-}
-
-// readBody reads a complete body. A body over smallBodyBytes needs room in the
-// shared memory while it is read.
-func (m *memory) readBody(body io.Reader) ([]byte, error) {
 	var b bytes.Buffer
-	taken := int64(0)
-	defer func() { m.free.Add(taken) }()
 	for {
-		n, err := io.CopyN(&b, body, smallBodyBytes)
+		before := int64(b.Len())
+		n, err := io.CopyN(&b, res.Body, smallBodyBytes)
+		held := holdBody(held, before*bufferFactor, n*bufferFactor)
 		switch {
 		case errors.Is(err, io.EOF):
-			return b.Bytes(), nil
+			return b.Bytes(), held
 		case err != nil:
 			return nil, err
 		case b.Len() > maxResponseBytes:
 			return nil, fmt.Errorf("%w: over %d bytes", errTooLong, maxResponseBytes)
-		case !m.take(n):
-			return nil, fmt.Errorf("%w: %d bytes are more than the memory left", errTooLong, b.Len())
+		case held != nil:
+			return nil, held
 		}
-		taken += n
 	}
 }
+
+// holdBody adds n bytes of a body to a charge that holds a number of bytes of it
+// already.
+func holdBody(held *memory.Charge, before, n int64) error {
+	if small := min(n, smallBodyBytes-before); small > 0 {
+		held.AddAlways(small)
+		n -= small
+	}
+	if n > 0 && !held.Add(n) {
+		return fmt.Errorf("%w: %d bytes more than the memory left", errTooLong, n)
+	}
+	return nil
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -64,7 +64,7 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nStamp: s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
-func newClient() *Client { return NewClient(NewPool(func() {}), testHeaders) }
+func newClient() *Client { return NewClient(NewPool(func() {}), testHeaders, nil) }
 
 func send(c *Client, address, id string) (*Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/standin/wire/operator.go
+++ b/standin/wire/operator.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -14,6 +15,9 @@
 	// Callers, Ready and Peers are the addresses to listen on. Store is the
 	// address of the store.
 	Callers, Ready, Peers, Store string
+	// MemoryMB and MaxFDs are the memory of the VM in MB and the descriptors that its
+	// process may open; 0 leaves them out of the settings.
+	MemoryMB, MaxFDs int
 }
 
 // GracePeriod is the time between SIGTERM and SIGKILL in the settings of all VMs.
@@ -21,7 +25,15 @@
 
 // Settings returns the contents of the settings file.
 func (v VM) Settings() ([]byte, error) {
+	limits := make(map[string]any)
+	if v.MemoryMB > 0 {
+		limits["memoryMb"] = v.MemoryMB
+	}
+	if v.MaxFDs > 0 {
+		limits["maxFds"] = v.MaxFDs
+	}
 	b, err := json.Marshal(map[string]any{
+		"limits":   limits,
 		"nodeName": v.Name, "ip": v.IP, "zone": v.Zone, "seeds": v.Seeds, "contracts": []string{"platform"}, "bootstrap": true,
 		"listen":   map[string]string{"front": v.Callers, "readyAddr": v.Ready, "control": v.Peers},
 		"bounds":   []string{"grace=" + milliseconds(GracePeriod), "retryBudgetRatio=0.2", "budgetExtra=60"},
@@ -39,6 +51,8 @@
 	Timeout  time.Duration
 	Routes   []Route
 	Services []ServiceOptions
+	// MaxBodyBytes bounds the body of a request; 0 means 1 MiB.
+	MaxBodyBytes int64
 }
 
 // Route matches paths by prefix and selects the service.
@@ -87,7 +101,7 @@
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3s", "idleTimeout": "15s"},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(c.MaxBodyBytes, 1<<20), "headerTimeout": "3s", "idleTimeout": "15s"},
 	})
 	if err != nil {
 		return fmt.Errorf("wire: configuration %d: %w", c.Version, err)
