--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -308,3 +308,46 @@
 	unknown := newLimits(memory.DefaultLimit, 0)
 	is.True(unknown.conns > 10000)
 }
+
+// Guards against callers that don't read their responses and hold memory for ever, and
+// against a deadline that cuts off a later response on the connection.
+func TestUnreadResponsesAreReleased(t *testing.T) {
+	is := is.New(t)
+	const timeout = 500 * time.Millisecond
+	f := newFixtureWith(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		resp := success(r)
+		if strings.HasSuffix(r.URI, "large") {
+			resp.Body = make([]byte, 16<<20)
+		}
+		r.Held.AddAlways(int64(len(resp.Body)))
+		return resp, nil
+	}, func(s *Server) { s.responseTimeout = timeout })
+	unread, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	defer func() { _ = unread.Close() }()
+	_, err = io.WriteString(unread, strings.Replace(headOf(2), "/safe/x", "/safe/large", 1))
+	is.NoErr(err)
+	for f.exchanger.count() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	kept, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	reader := bufio.NewReader(kept)
+	for range 3 {
+		_, err = io.WriteString(kept, headOf(2))
+		is.NoErr(err)
+		res, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, res.Body)
+		is.NoErr(err)
+		time.Sleep(timeout + 100*time.Millisecond)
+	}
+	// A malformed request is answered by the HTTP server itself.
+	_, err = io.WriteString(kept, "GET\r\n\r\n")
+	is.NoErr(err)
+	res, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 400)
+	_ = kept.Close()
+	f.waitUntilReleased(t)
+}
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -41,7 +41,7 @@
 		r.w.Header().Set("Connection", "close")
 	}
 	// A caller that doesn't read its response must not hold memory for ever.
-	_ = http.NewResponseController(r.w).SetWriteDeadline(time.Now().Add(responseTimeout)) // fails only if the connection is closed
+	_ = http.NewResponseController(r.w).SetWriteDeadline(time.Now().Add(r.responseTimeout)) // fails only if the connection is closed
 	r.w.WriteHeader(status)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -97,15 +97,15 @@
 	inProgress  atomic.Int64
 	limits      limits
 	openConns   atomic.Int64
-	// responseMargin is a field for the tests.
-	responseMargin time.Duration
-	mu             sync.Mutex
-	conns          map[*conn]struct{}
+	// responseMargin and responseTimeout are fields for the tests.
+	responseMargin, responseTimeout time.Duration
+	mu                              sync.Mutex
+	conns                           map[*conn]struct{}
 }
 
 // NewServer returns a server that doesn't listen yet.
 func NewServer(o Options) *Server {
-	s := &Server{Options: o, conns: make(map[*conn]struct{}), responseMargin: responseMargin}
+	s := &Server{Options: o, conns: make(map[*conn]struct{}), responseMargin: responseMargin, responseTimeout: responseTimeout}
 	if s.Memory == nil {
 		s.Memory = memory.NewAccount(memory.DefaultLimit)
 	}
