ingress: bodies leave room for other requests; rejected callers get their 503

A body of unknown length and just maxBodyBytes could need twice its size as its buffer grew; the sizes now lead to the limit, and the sum stays under 5/4. Bodies leave 1/32 of the account to connections and heads.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -10,9 +10,9 @@
 const (
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 	defaultMaxBodyBytes = 64 << 20
-	// firstBodyBytes and bodyGrowth are the first size of the buffer for a body of
-	// unknown length, and the factor by which it grows. At most a quarter of the final
-	// size is held in addition while the buffer is copied.
+	// firstBodyBytes and bodyGrowth are the largest first size of the buffer for a body of
+	// unknown length, and the factor by which it grows. About a quarter of the final size
+	// is held in addition while the buffer is copied.
 	firstBodyBytes = 4 << 10
 	bodyGrowth     = 4
 )
@@ -38,9 +38,15 @@
 	}
 	// One byte more than the limit, for the read that finds the end.
 	limit++
+	// The sizes are those that lead to the limit: with others, the last copy may be of a
+	// buffer that is hardly smaller than the new one.
+	first := limit
+	for first > firstBodyBytes {
+		first = (first + bodyGrowth - 1) / bodyGrowth
+	}
 	var b []byte
-	for size := min(int64(firstBodyBytes), limit); ; size = min(size*bodyGrowth, limit) {
-		if !held.Add(size) {
+	for size := first; ; size = min(size*bodyGrowth, limit) {
+		if !held.AddBody(size) {
 			return nil, errBodyMemory
 		}
 		grown := make([]byte, size)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -32,13 +32,16 @@
 	chunks chan []byte
 	// current is the chunk that is read, and unread its rest. used has room for a chunk
 	// that was read.
-	current      []byte
-	unread       []byte
-	used         chan []byte
-	err          error
-	cancel       context.CancelCauseFunc
-	done         chan struct{}
-	closeOnce    sync.Once
+	current   []byte
+	unread    []byte
+	used      chan []byte
+	err       error
+	cancel    context.CancelCauseFunc
+	done      chan struct{}
+	closeOnce sync.Once
+	// discarding is closed once nothing that arrives is read any more.
+	discarding   chan struct{}
+	discardOnce  sync.Once
 	readDeadline deadline
 	// held is what the connection holds of the memory account.
 	held *memory.Charge
@@ -64,6 +67,7 @@
 func newConn(c net.Conn, held *memory.Charge, onClose func()) *conn {
 	n := &conn{
 		Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{}), held: held, taken: make(chan struct{}, 1), used: make(chan []byte, 1), onClose: onClose,
+		discarding: make(chan struct{}),
 	}
 	n.head.begin()
 	n.readDeadline.expired = make(chan struct{})
@@ -117,9 +121,14 @@
 				return
 			}
 			select {
-			case c.chunks <- b[:n]:
-			case <-c.done:
-				return
+			case <-c.discarding:
+			default:
+				select {
+				case c.chunks <- b[:n]:
+				case <-c.discarding:
+				case <-c.done:
+					return
+				}
 			}
 		}
 		if err != nil {
@@ -157,12 +166,18 @@
 // connection was closed. While it waits, the end of the connection isn't detected.
 func (c *conn) awaitRoom() bool {
 	for len(c.chunks) > 0 {
+		select {
+		case <-c.discarding:
+			return true
+		default:
+		}
 		if c.held.AddSpare(readChunkSize) {
 			c.extra.Add(1)
 			return true
 		}
 		select {
 		case <-c.taken:
+		case <-c.discarding:
 		case <-c.done:
 			return false
 		}
@@ -272,9 +287,11 @@
 	return c.Conn.Close()
 }
 
-// CloseWrite shuts down the sending side. net/http calls it before Close, so
-// that a TCP reset doesn't discard the response.
+// CloseWrite shuts down the sending side. net/http calls it half a second before
+// Close, so that a TCP reset doesn't discard the response. What arrives until then, such
+// as the body of a rejected request, is discarded: unread bytes would cause a reset.
 func (c *conn) CloseWrite() error {
+	c.discardOnce.Do(func() { close(c.discarding) })
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return closer.CloseWrite()
 	}
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -146,7 +147,10 @@
 				req.Host = "h"
 				req.Header.Set("Id", id)
 				res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-				is.NoErr(err)
+				if err != nil {
+					t.Errorf("%s: %v", id, err)
+					return &http.Response{}
+				}
 				_ = res.Body.Close()
 				return res
 			}
@@ -171,6 +175,33 @@
 	}
 }
 
+// Guards against a body of unknown length that is changed as its buffer grows, or that
+// takes over 5/4 of the largest body, whatever its size and wherever its reads end.
+func TestBodyOfUnknownLength(t *testing.T) {
+	const limit = 1 << 20
+	all := bytes.Repeat([]byte("0123456789abcdef"), limit/16+1)
+	for _, size := range []int{0, 1, 4096, 4097, limit / 4, limit/4 + 1, limit - 1, limit, limit + 1} {
+		for name, wrap := range map[string]func(io.Reader) io.Reader{
+			"end by itself": func(r io.Reader) io.Reader { return r }, "end with data": iotest.DataErrReader, "halves": iotest.HalfReader,
+		} {
+			t.Run(fmt.Sprint(size, " ", name), func(t *testing.T) {
+				is := is.New(t)
+				account := memory.NewAccount(limit * 4 / 3)
+				held := account.NewCharge()
+				body := http.MaxBytesReader(nil, io.NopCloser(wrap(bytes.NewReader(all[:size]))), limit)
+				b, err := readAll(body, -1, limit, held)
+				is.Equal(err == nil, size <= limit)
+				if err == nil {
+					is.True(bytes.Equal(b, all[:size]))
+					is.True(account.Used() >= int64(cap(b)))
+				}
+				held.Release()
+				is.Equal(account.Used(), int64(0))
+			})
+		}
+	}
+}
+
 // Guards against a body that is read although it doesn't fit.
 func TestBodyWithoutRoomIsNotRead(t *testing.T) {
 	is := is.New(t)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -80,6 +80,9 @@
 	}
 	if rejection != nil {
 		r.reject(rejection)
+		if rejection.unread && httpRequest.Close {
+			r.discardBody()
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(s.Clock()))
@@ -123,6 +126,29 @@
 	reason string
 	// retryAfter is sent to the caller if it is positive.
 	retryAfter time.Duration
+	// unread is set if the body was not read.
+	unread bool
+}
+
+// discardTime bounds how long the body of a rejected request is discarded. It is that
+// of net/http.
+const discardTime = 500 * time.Millisecond
+
+// discardBody discards what still arrives of a rejected request. For callers that have
+// asked for the close of the connection, net/http closes it at once, and the reset
+// discards the response.
+func (r *request) discardBody() {
+	c, ok := r.httpRequest.Context().Value(connKey{}).(*conn)
+	if !ok || http.NewResponseController(r.w).Flush() != nil || c.CloseWrite() != nil {
+		return
+	}
+	timer := time.NewTimer(discardTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.httpRequest.Context().Done():
+	case <-r.requests.Done():
+	}
 }
 
 // quarantineRejection refuses a request that may end targets.
@@ -132,7 +158,7 @@
 
 // memoryRejection refuses a request for which there is no memory.
 func memoryRejection() *rejection {
-	return &rejection{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter}
+	return &rejection{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter, unread: true}
 }
 
 // checkRoom rejects a request whose head has too many lines, or for which there is no
@@ -145,7 +171,7 @@
 		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "too-many-lines"}
 	case inProgress > r.limits.requests:
 		r.w.Header().Set("Connection", "close")
-		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
 	case !r.held.Add(cost):
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
@@ -210,7 +236,7 @@
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
-	if n := r.httpRequest.ContentLength; n > 0 && !r.held.Add(n) {
+	if n := r.httpRequest.ContentLength; n > 0 && !r.held.AddBody(n) {
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -23,6 +23,9 @@
 	// until the garbage is collected: the garbage of a few large bodies exceeds the
 	// memory of a small machine before the runtime collects it.
 	largeBytes = 256 << 10
+	// bodyReserve is the divisor for the part of the account that bodies leave free. On
+	// the smallest machine a body of 64 MiB and unknown length must still fit.
+	bodyReserve = 32
 )
 
 // Limit returns the limit in bytes of the account of a machine with the given memory
@@ -76,7 +79,17 @@
 	if n < largeBytes {
 		return a.takeBelow(n, a.limit)
 	}
-	return a.takeLarge(n)
+	return a.takeLarge(n, a.limit)
+}
+
+// TakeBody is Take for the body of a request. It leaves a part of the account to
+// connections and heads, so that requests without a body can still be served.
+func (a *Account) TakeBody(n int64) bool {
+	limit := a.limit - a.limit/bodyReserve
+	if n < largeBytes {
+		return a.takeBelow(n, limit)
+	}
+	return a.takeLarge(n, limit)
 }
 
 // TakeSpare holds n bytes if at most half of the account is held with them. It is for
@@ -93,15 +106,15 @@
 	return true
 }
 
-func (a *Account) takeLarge(n int64) bool {
-	taken, collect := a.tryLarge(n)
+func (a *Account) takeLarge(n, limit int64) bool {
+	taken, collect := a.tryLarge(n, limit)
 	if !collect {
 		return taken
 	}
 	a.collecting.Lock()
 	defer a.collecting.Unlock()
 	// Another goroutine may have collected the garbage meanwhile.
-	if taken, collect = a.tryLarge(n); !collect {
+	if taken, collect = a.tryLarge(n, limit); !collect {
 		return taken
 	}
 	a.mu.Lock()
@@ -111,16 +124,16 @@
 	a.mu.Lock()
 	a.garbage -= before
 	a.mu.Unlock()
-	taken, _ = a.tryLarge(n)
+	taken, _ = a.tryLarge(n, limit)
 	return taken
 }
 
 // tryLarge reports whether it has taken n bytes, and if not, whether they would fit
 // without garbage.
-func (a *Account) tryLarge(n int64) (taken, collect bool) {
+func (a *Account) tryLarge(n, limit int64) (taken, collect bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	free := a.limit - a.used
+	free := limit - a.used
 	if n > free-a.garbage {
 		return false, n <= free
 	}
@@ -155,6 +168,11 @@
 	return c.account.Take(n) && c.hold(n)
 }
 
+// AddBody is Add for the body of a request, see TakeBody.
+func (c *Charge) AddBody(n int64) bool {
+	return c.account.TakeBody(n) && c.hold(n)
+}
+
 // AddSpare is Add for memory that its holder can do without: it fails if more than half
 // of the account were held.
 func (c *Charge) AddSpare(n int64) bool {
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -41,6 +41,19 @@
 	is.Equal(collections, 1)
 }
 
+// Guards against bodies that leave no room for connections and requests without a body.
+func TestBodiesLeaveRoom(t *testing.T) {
+	for _, size := range []int64{largeBytes / 8, largeBytes} {
+		is := is.New(t)
+		a := NewAccount(64 * largeBytes)
+		for a.TakeBody(size) {
+			is.True(a.Used() <= a.Limit())
+		}
+		is.Equal(a.Used(), a.Limit()-a.Limit()/bodyReserve)
+		is.True(a.Take(a.Limit() / bodyReserve))
+	}
+}
+
 // Guards against a charge that is released twice, or that holds memory after its
 // release, when an attempt ends later than its request.
 func TestChargeIsReleasedOnce(t *testing.T) {
@@ -86,7 +99,7 @@
 func TestLimitsOfMachines(t *testing.T) {
 	is := is.New(t)
 	const smallest, largestBody = 144_000_000, 64 << 20
-	is.True(Limit(smallest) > largestBody*5/4) // a body of unknown length is copied once as it grows
+	is.True(NewAccount(Limit(smallest)).TakeBody(largestBody * 5 / 4)) // a body of unknown length is copied once as it grows
 	is.True(RuntimeLimit(smallest) < smallest)
 	is.True(Limit(smallest) < RuntimeLimit(smallest))
 	is.Equal(Limit(0), int64(DefaultLimit))
