--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -152,10 +152,22 @@
 }
 
 func newFixture(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
-	return newFixtureWith(t, false, do)
+	return buildFixture(t, false, do, func(*Server) {})
 }
 
-func newFixtureWith(t *testing.T, loadControl bool, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
+// newFixtureWith changes the server before it listens.
+func newFixtureWith(t *testing.T, do func(context.Context, int, *upstream.Request) (*upstream.Response, error), change func(*Server)) *fixture {
+	return buildFixture(t, false, do, change)
+}
+
+// newControlledFixture returns a fixture with load control on or off.
+func newControlledFixture(t *testing.T, loadControl bool, do func(context.Context, int, *upstream.Request) (*upstream.Response, error)) *fixture {
+	return buildFixture(t, loadControl, do, func(*Server) {})
+}
+
+func buildFixture(
+	t *testing.T, loadControl bool, do func(context.Context, int, *upstream.Request) (*upstream.Response, error), change func(*Server),
+) *fixture {
 	f := &fixture{balancer: &balancer{}, exchanger: &exchanger{do: do}, quarantine: &suspects{}}
 	routes := &routing.ActiveTable{}
 	backend := []routing.Backend{{Service: "s", Weight: 1}}
@@ -175,6 +187,7 @@
 		Routes: routes, Balancer: f.balancer, Quarantine: f.quarantine, Upstream: f.exchanger, Headers: testHeaders, Clock: duty.NewClock(),
 		Log: logr.Discard(), Metrics: observe.NewMetrics(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
+	change(f.Server)
 	is.New(t).NoErr(f.Listen("127.0.0.1:0"))
 	f.address = f.listener.Addr().String()
 	go func() { _ = f.Serve() }()
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
 
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/routing"
 )
 
@@ -103,6 +105,7 @@
 		return
 	}
 	a := &aheadRequest{request: r.WithContext(p.ctx), done: make(chan struct{})}
+	a.response.held = p.server.Memory.NewCharge()
 	if p.ahead == nil {
 		p.ahead = make(map[int]*aheadRequest)
 	}
@@ -111,6 +114,9 @@
 	go func() {
 		defer close(a.done)
 		p.server.handle(&a.response, a.request)
+		if p.ctx.Err() != nil {
+			a.response.held.Release() // nobody replays it
+		}
 	}()
 }
 
@@ -167,6 +173,10 @@
 	header http.Header
 	status int
 	body   []byte
+	// held is what the body holds of the memory account until it is replayed.
+	held *memory.Charge
+	// dropped is set if there was no memory for the body.
+	dropped bool
 }
 
 // Header implements http.ResponseWriter.
@@ -182,13 +192,25 @@
 
 // Write implements http.ResponseWriter.
 func (r *recordedResponse) Write(b []byte) (int, error) {
+	if r.dropped = r.dropped || !r.held.Add(int64(len(b))); r.dropped {
+		return 0, errNoRoomAhead
+	}
 	r.body = append(r.body, b...)
 	return len(b), nil
 }
 
+// errNoRoomAhead is returned by the write of a response for which there is no memory
+// until its turn.
+var errNoRoomAhead = errors.New("ingress: no memory for a response before its turn")
+
 // replay writes a response that was recorded, once it is complete. closes is set if
 // it is the last one of its connection.
 func (r *recordedResponse) replay(w http.ResponseWriter, closes bool) error {
+	defer r.held.Release()
+	if r.dropped {
+		w.WriteHeader(http.StatusBadGateway)
+		return errNoRoomAhead
+	}
 	for name, values := range r.Header() {
 		w.Header()[name] = values
 	}
--- a/internal/ingress/pipeline_test.go
+++ b/internal/ingress/pipeline_test.go
@@ -86,7 +86,7 @@
 // that send three at once got the third after three times the work.
 func TestPipelinedRequestsRunAtTheSameTime(t *testing.T) {
 	g := newGate()
-	c := newPipeliningCaller(t, newFixtureWith(t, true, g.do))
+	c := newPipeliningCaller(t, newControlledFixture(t, true, g.do))
 	c.write(pipelined("/safe/0", "/keyed/1", "/safe/2?q=1"))
 	g.waitFor(t, 3)
 	close(g.open)
@@ -100,7 +100,7 @@
 // than a connection may hold responses for.
 func TestManyPipelinedRequestsInParts(t *testing.T) {
 	g := newGate()
-	c := newPipeliningCaller(t, newFixtureWith(t, true, g.do))
+	c := newPipeliningCaller(t, newControlledFixture(t, true, g.do))
 	paths := make([]string, maxAhead+3)
 	for i := range paths {
 		paths[i] = "/safe/" + strconv.Itoa(i)
@@ -134,7 +134,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newGate()
-			caller := newPipeliningCaller(t, newFixtureWith(t, c.loadControl, g.do))
+			caller := newPipeliningCaller(t, newControlledFixture(t, c.loadControl, g.do))
 			caller.write(c.text)
 			g.waitFor(t, 1)
 			time.Sleep(50 * time.Millisecond)
@@ -149,7 +149,7 @@
 // Guards against requests at targets whose caller has closed its connection.
 func TestClosedConnectionCancelsPipelinedRequests(t *testing.T) {
 	g := newGate()
-	c := newPipeliningCaller(t, newFixtureWith(t, true, g.do))
+	c := newPipeliningCaller(t, newControlledFixture(t, true, g.do))
 	c.write(pipelined("/safe/0", "/safe/1", "/safe/2"))
 	g.waitFor(t, 3)
 	_ = c.Close()
@@ -161,7 +161,7 @@
 func TestStopAnswersPipelinedRequests(t *testing.T) {
 	is := is.New(t)
 	g := newGate()
-	f := newFixtureWith(t, true, g.do)
+	f := newControlledFixture(t, true, g.do)
 	c := newPipeliningCaller(t, f)
 	c.write(pipelined("/safe/0", "/safe/1", "/safe/2"))
 	g.waitFor(t, 3)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/cost"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
 	"celeryhook.example/celeryhook/internal/team"
@@ -43,8 +43,10 @@
 	keyed       bool
 	key         uint16
 	body        []byte
-	header      http.Header
-	startedAt   core.Instant
+	// held is what the request holds of the memory account until it ends.
+	held      *memory.Charge
+	header    http.Header
+	startedAt core.Instant
 	// patience is how long the caller said that it waits, or 0.
 	patience time.Duration
 	deadline core.Instant
@@ -79,13 +81,23 @@
 
 // handle handles one request.
 func (s *Server) handle(w http.ResponseWriter, httpRequest *http.Request) {
-	r := &request{Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock()}
-	s.inProgress.Add(1)
+	r := &request{
+		Server: s, w: w, httpRequest: httpRequest, startedAt: s.Clock(), held: s.Memory.NewCharge(), id: httpRequest.Header.Get(s.Headers.RequestID),
+	}
+	defer r.held.Release()
+	inProgress := s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	ctx, span := s.Tracer.Start(httpRequest.Context(), "request")
 	defer span.End()
-	if rejection := r.prepare(); rejection != nil {
+	rejection := r.checkRoom(inProgress)
+	if rejection == nil {
+		rejection = r.prepare()
+	}
+	if rejection != nil {
 		r.reject(rejection)
+		if rejection.unread && httpRequest.Close {
+			r.discardBody()
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(s.Clock()))
@@ -100,7 +112,7 @@
 		a := s.Quarantine.Admit(r.fingerprint())
 		r.suspected = a.Suspected
 		if a.Held {
-			r.reject(&rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: a.Until.Sub(s.Clock())})
+			r.reject(quarantineRejection(a.Until.Sub(s.Clock())))
 			return
 		}
 		if a.Done != nil {
@@ -132,12 +144,62 @@
 	reason string
 	// retryAfter is sent to the caller if it is positive.
 	retryAfter time.Duration
+	// unread is set if the body was not read.
+	unread bool
+}
+
+// discardTime bounds how long the body of a rejected request is discarded. It is that
+// of net/http.
+const discardTime = 500 * time.Millisecond
+
+// discardBody discards what still arrives of a rejected request. For callers that have
+// asked for the close of the connection, net/http closes it at once, and the reset
+// discards the response.
+func (r *request) discardBody() {
+	c, ok := r.httpRequest.Context().Value(connKey{}).(*conn)
+	if !ok || http.NewResponseController(r.w).Flush() != nil || c.CloseWrite() != nil {
+		return
+	}
+	timer := time.NewTimer(discardTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.httpRequest.Context().Done():
+	case <-r.requests.Done():
+	}
+}
+
+// quarantineRejection refuses a request that may end targets.
+func quarantineRejection(retryAfter time.Duration) *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: retryAfter}
+}
+
+// memoryRejection refuses a request for which there is no memory.
+func memoryRejection() *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter, unread: true}
+}
+
+// checkRoom rejects a request whose head has too many lines, or for which there is no
+// room. Its argument is the number of requests in progress, this one included.
+func (r *request) checkRoom(inProgress int64) *rejection {
+	lines, cost := headSize(r.httpRequest)
+	switch {
+	case lines > maxHeadLines:
+		r.w.Header().Set("Connection", "close")
+		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "too-many-lines"}
+	case inProgress > r.limits.requests:
+		r.w.Header().Set("Connection", "close")
+		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
+	case !r.held.Add(cost):
+		r.w.Header().Set("Connection", "close")
+		return memoryRejection()
+	}
+	return nil
 }
 
 // prepare finds the route, determines the deadline and reads the complete
 // request.
 func (r *request) prepare() *rejection {
-	r.id = r.httpRequest.Header.Get(r.Headers.RequestID)
 	table := r.Routes.Table()
 	if table == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: noConfigRetryAfter}
@@ -198,10 +260,14 @@
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
+	if n := r.httpRequest.ContentLength; n > 0 && !r.held.AddBody(n) {
+		r.w.Header().Set("Connection", "close")
+		return memoryRejection()
+	}
 	endRead := func() { _ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0)) }
 	timer := time.AfterFunc(r.deadline.Sub(r.Clock()), endRead)
 	cancelEndRead := context.AfterFunc(r.requests, endRead)
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit))
+	body, err := readAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit), r.httpRequest.ContentLength, limit, r.held)
 	inTime, running := timer.Stop(), cancelEndRead()
 	if !inTime || !running || err != nil {
 		r.w.Header().Set("Connection", "close")
@@ -211,6 +277,8 @@
 			return stopRejection()
 		case !inTime:
 			return &rejection{status: http.StatusRequestTimeout, reason: "body-incomplete"}
+		case errors.Is(err, errBodyMemory):
+			return memoryRejection()
 		case errors.As(err, &large):
 			return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 		}
@@ -219,6 +287,3 @@
 	r.body = body
 	return nil
 }
-
-// defaultMaxBodyBytes bounds a body if the configuration sets no limit.
-const defaultMaxBodyBytes = 64 << 20
