ingress: a stopped timer no longer keeps the body of a request

The runtime keeps a stopped timer until its time, and with it what its function refers to: here the request and its body, up to the deadline. The account took the body for garbage that a collection frees.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -240,7 +240,9 @@
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
-	endRead := func() { _ = http.NewResponseController(r.w).SetReadDeadline(time.Unix(1, 0)) }
+	// A stopped timer may be kept until its time has come. It must not keep the body.
+	w := r.w
+	endRead := func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) }
 	timer := time.AfterFunc(r.deadline.Sub(r.Clock()), endRead)
 	cancelEndRead := context.AfterFunc(r.requests, endRead)
 	body, err := readAll(http.MaxBytesReader(r.w, r.httpRequest.Body, limit), r.httpRequest.ContentLength, limit, r.held)
