loadview: shares for hot owners only; estimates stay the VMs' own

Service times over all VMs contain queueing that no VM knows of, so that busy targets seemed slow to the assigner and to the shares.

The digest's load and service time no longer replace the VMs' estimates, nor the assigner's. A share is given for targets wanted four times as often as they can serve, where it keeps the queue short; below, the target's queue serves more.

--- a/internal/balance/digest.go
+++ b/internal/balance/digest.go
@@ -17,9 +17,6 @@
 	admissionBurst = 250 * time.Millisecond
 	// minAdmissionWeight bounds the share that an old digest leaves.
 	minAdmissionWeight = 0.1
-	// Bounds of the pace that a digest's service time implies.
-	minDigestPace = 0.05
-	maxDigestPace = 20.0
 )
 
 // digested is the leader's entry for a target.
@@ -27,9 +24,7 @@
 	// at is when the entry was last known to be current, or zero if there is none.
 	at         core.Instant
 	generation uint64
-	// pace is the pace that corresponds to the service time over all VMs, or 0.
-	pace      float64
-	admission admission
+	admission  admission
 }
 
 // weight returns the weight of the entry, from 1 to 0.
@@ -44,15 +39,6 @@
 	return float64(loadview.EntryTTL-age) / float64(loadview.EntryTTL-digestFullAge)
 }
 
-// paceAt returns the pace according to the digest and its weight, which is 0 if the
-// VM has a later result of its own.
-func (d *digested) paceAt(now, resultAt core.Instant) (pace, weight float64) {
-	if d.pace <= 0 || resultAt.After(d.at) {
-		return 0, 0
-	}
-	return d.pace, d.weight(now)
-}
-
 // admission is the token bucket of this VM for a target under admission.
 type admission struct {
 	// perSecond is this VM's share, or 0 if it is not restricted.
@@ -156,16 +142,4 @@
 	}
 	t.digested.at, t.digested.generation = asOf, b.exchange.generation
 	t.digested.admission.set(now, e.Admit, b.random)
-	if l := e.Load; l != nil {
-		if at := asOf.Add(-l.Age); t.load == nil || at.After(t.loadAt) {
-			t.recordLoad(at, &TargetLoad{Running: l.Running, Waiting: l.Waiting, Slots: e.Slots, Slowdown: l.Slowdown})
-		}
-	}
-	t.digested.pace = 0
-	if usual := float64(b.work.mean(t.Service)); e.ServiceTime > 0 && usual > 0 {
-		if t.meanSlowdown > 0 {
-			usual *= t.meanSlowdown
-		}
-		t.digested.pace = min(max(float64(e.ServiceTime)/usual, minDigestPace), maxDigestPace)
-	}
 }
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -151,18 +151,8 @@
 
 func (t *target) slots() float64 { return float64(max(t.Slots, 1)) }
 
-// paceOrUsual returns the pace, that of the leader's digest if it is newer than this
-// VM's results.
+// paceOrUsual returns the pace, which approaches the usual one without results.
 func (t *target) paceOrUsual(now core.Instant) float64 {
-	if pace, weight := t.digested.paceAt(now, t.resultAt); weight > 0 {
-		return pace*weight + t.ownPace(now)*(1-weight)
-	}
-	return t.ownPace(now)
-}
-
-// ownPace returns the pace that this VM measured, which approaches the usual one
-// without results.
-func (t *target) ownPace(now core.Instant) float64 {
 	if t.pace > 0 {
 		return 1 + (t.pace-1)*fade(now.Sub(t.resultAt))
 	}
@@ -183,7 +173,7 @@
 // beginUpdate ages the estimates before a new result is added.
 func (t *target) beginUpdate(now core.Instant) {
 	if t.pace > 0 {
-		t.pace = t.ownPace(now)
+		t.pace = t.paceOrUsual(now)
 	}
 	t.failureRate *= fade(now.Sub(t.resultAt))
 	t.resultAt = now
--- a/internal/loadview/aggregator.go
+++ b/internal/loadview/aggregator.go
@@ -16,9 +16,6 @@
 	// refreshInterval is the least time between two computations of the aggregate.
 	// It keeps the cost independent of the number of reports.
 	refreshInterval = 100 * time.Millisecond
-	// publishInterval is the time between two ServiceTimesMeasured. It is short
-	// against the interval at which the assigner rebalances.
-	publishInterval = 500 * time.Millisecond
 	// digestBudget is how many bytes of digests per second the leader sends at most
 	// because of small changes of entries of entryBytes. The slowest links have
 	// 10 Mbit/s, and the VMs exchange requests over them too.
@@ -48,7 +45,6 @@
 	firstSequence uint64
 	admitting     int
 	refreshedAt   core.Instant
-	publishedAt   core.Instant
 }
 
 type sender struct {
@@ -178,10 +174,6 @@
 		}
 	}
 	a.expire(now)
-	if now.Sub(a.publishedAt) >= publishInterval {
-		a.publishedAt = now
-		out = append(out, a.serviceTimes())
-	}
 	return out
 }
 
@@ -199,24 +191,6 @@
 	}
 }
 
-// serviceTimes returns the service time of each target. If two processes of a
-// target are known, the later one counts.
-func (a *Aggregator) serviceTimes() ServiceTimesMeasured {
-	out := ServiceTimesMeasured{Times: make(map[core.Target]time.Duration, len(a.targets))}
-	startedAt := make(map[core.Target]int64, len(a.targets))
-	for p, t := range a.targets {
-		if at, ok := startedAt[p.Target]; ok && at > p.StartedAt {
-			continue
-		}
-		startedAt[p.Target] = p.StartedAt
-		delete(out.Times, p.Target)
-		if d := t.limitedServiceTime(); d > 0 {
-			out.Times[p.Target] = d
-		}
-	}
-	return out
-}
-
 // digest returns the entries that the sender of a report lacks, and those of all
 // targets under admission, whose Admit depends on the sender.
 func (a *Aggregator) digest(now core.Instant, r Report) Digest {
--- a/internal/loadview/messages.go
+++ b/internal/loadview/messages.go
@@ -111,16 +111,11 @@
 	Digest Digest
 }
 
-// ServiceTimesMeasured carries the mean service times of all targets with samples,
-// for the assigner.
-type ServiceTimesMeasured struct{ Times map[core.Target]time.Duration }
-
 // Event is a state change to be logged.
 type Event struct {
 	Text   string
 	Fields []any
 }
 
-func (SendReply) output()            {}
-func (ServiceTimesMeasured) output() {}
-func (Event) output()                {}
+func (SendReply) output() {}
+func (Event) output()     {}
--- a/internal/loadview/target.go
+++ b/internal/loadview/target.go
@@ -28,14 +28,12 @@
 	// minCapacityFraction is the fraction of a target's capacity that is admitted
 	// however long its queue is, so that its service time stays measured.
 	minCapacityFraction = 0.1
-	// A target comes under admission at once if its demand exceeds surgeFactor times
-	// its capacity, or after enterAfter if it exceeds enterFactor times. The measured
-	// demand varies by a fifth at a few requests per second. It leaves after the
-	// demand has been below the capacity for leaveAfter.
-	surgeFactor = 2.0
-	enterFactor = 1.2
-	enterAfter  = time.Second
-	leaveAfter  = time.Second
+	// A target comes under admission if its demand exceeds hotFactor times its capacity,
+	// as that of a key that many callers want at once. Below it, the target's own queue
+	// serves more requests than shares do. It leaves after the demand has been below
+	// the capacity for leaveAfter.
+	hotFactor  = 4.0
+	leaveAfter = time.Second
 	// A VM loses a part of its share while its bucket of one request is full. With
 	// demand D and capacity C over all VMs and requests at random times, it uses its
 	// part of C if its rate is D/(D-C) times that part, which maxBoost bounds. Above
@@ -109,8 +107,8 @@
 
 	total     rates
 	admitting bool
-	// sinceChange is since when the demand has been on the other side of the threshold
-	// for entering or leaving admission.
+	// sinceChange is when the demand of a target under admission last reached its
+	// capacity.
 	sinceChange core.Instant
 	// trim corrects the shares by what the VMs sent.
 	trim float64
@@ -244,10 +242,7 @@
 	capacity := t.attemptCapacity()
 	room := t.reportsRoom(now)
 	if !t.admitting {
-		switch {
-		case capacity <= 0 || t.total.demand <= enterFactor*capacity || room && t.total.demand <= surgeFactor*capacity:
-			t.sinceChange = now
-		case t.total.demand > surgeFactor*capacity || now.Sub(t.sinceChange) >= enterAfter:
+		if capacity > 0 && t.total.demand > hotFactor*capacity {
 			t.admitting, t.trim, t.sinceChange = true, 1, now
 			return "target under admission"
 		}
--- a/internal/node/loadview.go
+++ b/internal/node/loadview.go
@@ -185,8 +185,6 @@
 		n.log.Info(o.Text, o.Fields...)
 	case loadview.SendReply:
 		o.To <- o.Digest
-	case loadview.ServiceTimesMeasured:
-		n.assignerRing.TryPut(ownership.ServiceTimesMeasured{Times: o.Times})
 	}
 }
 
--- a/internal/ownership/assigner.go
+++ b/internal/ownership/assigner.go
@@ -89,8 +89,6 @@
 	case LoadReport:
 		a.loads.add(now, m)
 		a.updateUnreachable(now, m.Unreachable)
-	case ServiceTimesMeasured:
-		a.loads.measured = measuredTimes{times: m.Times, at: now}
 	case Unreachable:
 		a.unreachableAt[m.Target] = now
 	case Appended:
--- a/internal/ownership/loads.go
+++ b/internal/ownership/loads.go
@@ -39,14 +39,6 @@
 	byVM map[core.VM]receivedReport
 	// units holds the estimated requests per second of each unit.
 	units map[core.Service]*[Units]float64
-	// measured holds the service times over the samples of all VMs; only with load
-	// control.
-	measured measuredTimes
-}
-
-type measuredTimes struct {
-	times map[core.Target]time.Duration
-	at    core.Instant
 }
 
 type receivedReport struct {
@@ -68,9 +60,6 @@
 			delete(l.byVM, vm)
 		}
 	}
-	if now.Sub(l.measured.at) > loadReportTTL {
-		l.measured.times = nil
-	}
 }
 
 // reported returns the sum of the latest reports of the VMs.
@@ -132,12 +121,9 @@
 	return out
 }
 
-// meanServiceTime returns the mean over the samples of all VMs for a target or, if
-// they aren't known, the mean over the VMs that measured it. It is 0 if none did.
+// meanServiceTime returns the mean over the VMs that measured a target, or 0 if
+// none did.
 func (l *loadReports) meanServiceTime(t core.Target) time.Duration {
-	if d := l.measured.times[t]; d > 0 {
-		return d
-	}
 	var sum time.Duration
 	n := 0
 	for _, r := range l.byVM {
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -48,10 +48,6 @@
 	Partial bool
 }
 
-// ServiceTimesMeasured carries the mean time of a request at targets, without
-// queueing, over the samples of all VMs.
-type ServiceTimesMeasured struct{ Times map[core.Target]time.Duration }
-
 // Unreachable reports that connections to a target's process fail.
 type Unreachable struct{ Target core.Target }
 
@@ -107,18 +103,17 @@
 // Tick advances time.
 type Tick struct{}
 
-func (LedgerChanged) message()        {}
-func (TargetsChanged) message()       {}
-func (ServicesChanged) message()      {}
-func (MembersChanged) message()       {}
-func (LoadReport) message()           {}
-func (ServiceTimesMeasured) message() {}
-func (Unreachable) message()          {}
-func (Appended) message()             {}
-func (Released) message()             {}
-func (Granted) message()              {}
-func (GrantExpiry) message()          {}
-func (Tick) message()                 {}
+func (LedgerChanged) message()   {}
+func (TargetsChanged) message()  {}
+func (ServicesChanged) message() {}
+func (MembersChanged) message()  {}
+func (LoadReport) message()      {}
+func (Unreachable) message()     {}
+func (Appended) message()        {}
+func (Released) message()        {}
+func (Granted) message()         {}
+func (GrantExpiry) message()     {}
+func (Tick) message()            {}
 
 // Output is an action that the Assigner or the Renewer requests.
 type Output interface{ output() }
