--- a/internal/mesh/traffic_test.go
+++ b/internal/mesh/traffic_test.go
@@ -42,7 +42,7 @@
 }
 
 func newTrafficModel(vms int) *trafficModel {
-	// The ratios of kotuku: 58 VMs, 165 targets, 1,548 requests per second.
+	// The ratios of a deployment: 58 VMs, 165 targets, 1,548 requests per second.
 	m := &trafficModel{
 		vms: vms, targets: vms * 165 / 58, perSecond: float64(vms) * 1548 / 58, random: rand.New(rand.NewPCG(uint64(vms), 1)),
 		now: core.Instant(time.Hour), aggregator: loadview.NewAggregator(testLeader), have: make([]uint64, vms),
