balance, ingress: tests of Retry-After and of held responses; names

Read-through: new requests had two names, the reason at exchanged was that of a behaviour that was taken out, and the Retry-After after a rejection by a target with room and the bound on responses that wait for their turn had no test.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -15,20 +15,20 @@
 	// minWaited is the shortest time after which a caller counts as returned. Shorter
 	// ones are transit times.
 	minWaited = 30 * time.Millisecond
-	// newcomerQueueShare is the part of the queue, by the time that it takes, that new
+	// newRequestQueueShare is the part of the queue, by the time that it takes, that new
 	// requests may fill. The rest is left for callers that return after a rejection,
 	// who have no further try.
-	newcomerQueueShare = 0.7
-	// usableRetryShare is the part of its remaining time up to which a caller waits as
-	// it was told to.
+	newRequestQueueShare = 0.7
+	// usableRetryShare is the longest Retry-After that callers follow, as a fraction of
+	// their remaining time.
 	usableRetryShare = 1.0 / 3
 	// shedRetryAfter is the retry delay after a target rejected a request although it
-	// isn't known to be full: nothing has to be waited for.
+	// isn't known to be full: there is no queue to wait for.
 	shedRetryAfter = 50 * time.Millisecond
 )
 
-// longestPatience is the longest time that new callers of a route wait for a
-// response.
+// longestPatience tracks the longest time that callers of a route wait for a response,
+// over one to two windows.
 type longestPatience struct {
 	current, previous time.Duration
 	since             core.Instant
@@ -87,7 +87,7 @@
 	}
 	forQueue := float64(useful - duration)
 	if req.Waited == 0 {
-		forQueue *= newcomerQueueShare
+		forQueue *= newRequestQueueShare
 	}
 	return queued*float64(duration) > forQueue
 }
@@ -109,8 +109,8 @@
 	return unavailableRetryAfter
 }
 
-// forgetPatience removes the routes that had no requests for two windows.
-func (b *Balancer) forgetPatience(now core.Instant) {
+// prunePatience removes the routes that had no requests for two windows.
+func (b *Balancer) prunePatience(now core.Instant) {
 	for w, l := range b.patience {
 		if now.Sub(l.since) >= 2*patienceWindow {
 			delete(b.patience, w)
--- a/internal/balance/admission_test.go
+++ b/internal/balance/admission_test.go
@@ -173,3 +173,25 @@
 	}
 	is.Equal(decisions(testPatience), decisions(testPatience-400*time.Millisecond))
 }
+
+// Guards against callers that wait for a queue that isn't there, after a target with
+// room rejected their request.
+func TestRetryAfterRejectionByATargetWithRoom(t *testing.T) {
+	is := is.New(t)
+	for _, loadControl := range []bool{false, true} {
+		s := setup{targets: []discovery.Target{warmTarget("a")}, service: routing.Service{LoadControl: loadControl, Sharded: true}}
+		b := s.fleet()[0]
+		b.Step(start, OwnersChanged{View: ownedBy("a")})
+		shed := func() Decision {
+			selectTarget(b, start, withPatience(testPatience))
+			b.Step(start, AttemptDone{Service: "s", Route: "r", Target: "a", Result: Shed, Load: &TargetLoad{Running: 1, Slots: 4, Slowdown: 1}})
+			return selectTarget(b, start, withPatience(testPatience), func(a *SelectTarget) { a.Kind, a.Counted = Retry, true })
+		}
+		d := shed()
+		for range 5 { // until the budget is used up
+			d = shed()
+		}
+		is.Equal(d.Reason, "retry-budget")
+		is.Equal(d.RetryAfter == shedRetryAfter, loadControl)
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -89,7 +89,7 @@
 		b.owners = m.View
 	case ServicesChanged:
 		b.services = m.Services
-		b.forgetPatience(now)
+		b.prunePatience(now)
 	case MembersChanged:
 		b.members = m.View
 		b.updateRanks()
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -43,9 +43,9 @@
 const (
 	// hedgeReserve is the fraction of a VM's bucket that hedges leave for retries.
 	hedgeReserve = 0.5
-	// newcomerReserve is the fraction of a VM's bucket beyond one retry that new
+	// newRequestReserve is the fraction of a VM's bucket beyond one retry that new
 	// requests leave for returning ones under load control.
-	newcomerReserve = 0.8
+	newRequestReserve = 0.8
 )
 
 // retryBudget is a token bucket for the retries of one service. It is filled by
@@ -75,7 +75,7 @@
 	case req.Kind == Hedge:
 		required += b.capacity(l, members) * hedgeReserve
 	case l.returnsFirst && req.Waited == 0:
-		required += (b.capacity(l, members) - 1) * newcomerReserve
+		required += (b.capacity(l, members) - 1) * newRequestReserve
 	}
 	if b.tokens < required {
 		return false
--- a/internal/balance/exchange.go
+++ b/internal/balance/exchange.go
@@ -50,8 +50,8 @@
 }
 
 // exchanged reports whether the target is part of the exchange: its service is under
-// load control, and its keys leave no choice of another target. Where there is a
-// choice, all VMs would send to the targets that the same digest shows as best.
+// load control and sharded. Requests for its keys can't go to another target, so that
+// its capacity has to be divided among the VMs.
 func (b *Balancer) exchanged(t *target) bool {
 	s := b.services[t.Service]
 	return s.LoadControl && s.Sharded
--- a/internal/ingress/pipeline_test.go
+++ b/internal/ingress/pipeline_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,6 +15,8 @@
 
 	"github.com/matryer/is"
 
+	"celeryhook.example/celeryhook/internal/balance"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/upstream"
 )
 
@@ -177,3 +181,48 @@
 	}
 	is.NoErr(<-stopped)
 }
+
+// Guards against responses that wait for their turn beyond the memory of the process,
+// and against memory that they hold after their turn.
+func TestResponsesBeforeTheirTurnAreBounded(t *testing.T) {
+	is := is.New(t)
+	account := memory.NewAccount(100)
+	fits := recordedResponse{held: account.NewCharge()}
+	fits.WriteHeader(http.StatusOK)
+	_, err := fits.Write(make([]byte, 80))
+	is.NoErr(err)
+	dropped := recordedResponse{held: account.NewCharge()}
+	dropped.WriteHeader(http.StatusOK)
+	_, err = dropped.Write(make([]byte, 80))
+	is.True(errors.Is(err, errNoRoomAhead))
+	w := httptest.NewRecorder()
+	is.NoErr(fits.replay(w, false))
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(w.Body.Len(), 80)
+	w = httptest.NewRecorder()
+	is.True(dropped.replay(w, false) != nil)
+	is.Equal(w.Code, http.StatusBadGateway) // the request may have run
+	is.Equal(account.Used(), int64(0))
+}
+
+// Guards against a caller that waits longer than the balancer told it, after a target
+// with room rejected its request.
+func TestRetryAfterOfTheBalancerIsSent(t *testing.T) {
+	is := is.New(t)
+	for _, loadControl := range []bool{false, true} {
+		f := newControlledFixture(t, loadControl, func(context.Context, int, *upstream.Request) (*upstream.Response, error) {
+			return &upstream.Response{Status: http.StatusServiceUnavailable, NotRun: true, Header: http.Header{}}, nil
+		})
+		f.balancer.reply = func(n int) balance.Decision {
+			if n > 1 {
+				return balance.Decision{Verdict: balance.Reject, Reason: "retry-budget", RetryAfter: 50 * time.Millisecond}
+			}
+			return balance.Decision{Target: balance.Target{ID: "t1"}}
+		}
+		want := "0.100"
+		if loadControl {
+			want = "0.050"
+		}
+		is.Equal(f.send(t, http.MethodGet, "/safe/1", "r1").Header.Get("Retry-After"), want)
+	}
+}
