--- a/review/scene2/main.go
+++ b/review/scene2/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]func(*world) (string, error){
 	"heads": openHeads,
+	"lines": manyLines,
 	"crash": forgottenCrashes,
 }
 
