--- a/review/scene2/main.go
+++ b/review/scene2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*world) (string, error){
 	"heads": openHeads,
 	"lines": manyLines,
+	"pause": forgottenPause,
 	"crash": forgottenCrashes,
 }
 
