--- a/review/scene2/main.go
+++ b/review/scene2/main.go
@@ -23,10 +23,11 @@
 const maxRunTime = 110 * time.Second
 
 var cases = map[string]func(*world) (string, error){
-	"heads": openHeads,
-	"lines": manyLines,
-	"pause": forgottenPause,
-	"crash": forgottenCrashes,
+	"memory": pipelinedHeads,
+	"heads":  openHeads,
+	"lines":  manyLines,
+	"pause":  forgottenPause,
+	"crash":  forgottenCrashes,
 }
 
 func main() {
