--- a/review/scene2/memory.go
+++ b/review/scene2/memory.go
@@ -21,9 +21,9 @@
 const (
 	// pipeliningClients are connected to one VM. Each sends one request behind the
 	// other without waiting for the answers, which it reads. Their heads have
-	// shortLines lines and less than 16,384 bytes.
+	// shortLines short lines and an odd long one, legalHead bytes in all.
 	pipeliningClients = 600
-	shortLines        = 900
+	shortLines        = 300
 	pipeliningTime    = 25 * time.Second
 	pipelineDeadline  = 1200 * time.Millisecond
 	pipelineTargets   = 6
@@ -126,7 +126,7 @@
 		for line := range shortLines {
 			fmt.Fprintf(&b, "x%x: value\r\n", line)
 		}
-		b.WriteString("\r\n")
+		fmt.Fprintf(&b, "odd: %s\r\n\r\n", strings.Repeat("x", max(0, legalHead-b.Len())))
 		if _, err := c.Write(b.Bytes()); err != nil {
 			return
 		}
