ingress: incomplete heads give way to other connections

What callers saw: beside clients whose heads don't end, each new connection was closed unread, for seconds at a time, while the VM said that it was ready.

Cause: such heads keep their place and their memory for 10 s, whatever the configuration's headerTimeout is, and if there was no room the new connection paid. Only connections that had been quiet for 300 ms could be closed instead, and never for memory.

Change: internal/inbound decides which connection gives way. Incomplete heads go first: the one that takes longest if there are too many connections, the one that holds most if there is no memory. Idle connections follow, those without a request so far first. Requests in progress never give way, and a request is not handled if its connection has given way while its head was read. A head has the configuration's headerTimeout and 1 s, from its first byte.

Why it works: an ordinary caller sends its head at once, so that its connection is the last one to be selected; a client that holds a head open can keep a place only while nobody else needs it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/memory"
 )
 
@@ -52,16 +53,26 @@
 	// extra is the number of chunks ahead that are part of held.
 	extra atomic.Int64
 	head  headReader
+	// makeRoom closes another connection so that there is memory for the head of this
+	// one, and reports whether it did.
+	makeRoom func(*conn) bool
+	// headTimeout returns how long a head may take from its first byte.
+	headTimeout func() time.Duration
 	// onClose is called once when the connection is closed.
 	onClose func()
-	// busy is set while a request is in progress on the connection.
-	busy atomic.Bool
-	// mu serialises the arrival of data and the decision to close an idle
-	// connection: data that arrives after it is never handled as a request.
+	// mu serialises the arrival of data, the start of requests and the decision to
+	// close the connection: what arrives after it is never handled as a request.
 	mu      sync.Mutex
 	closing bool
+	// busy is set while a request is in progress on the connection, and served once one
+	// has been answered.
+	busy, served bool
 	// lastUsed is when data last arrived or a request last ended.
 	lastUsed time.Time
+	// headSince and headBytes are when the first byte of an incomplete head was read,
+	// and the memory that the head holds; headDeadline is when it must be complete.
+	headSince, headDeadline time.Time
+	headBytes               int64
 }
 
 // newConn returns a connection that holds memory of the charge, which it releases
@@ -69,7 +80,9 @@
 func newConn(c net.Conn, held *memory.Charge, onClose func()) *conn {
 	n := &conn{
 		Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{}), held: held, taken: make(chan struct{}, 1), used: make(chan []byte, 1), onClose: onClose,
-		discarding: make(chan struct{}),
+		discarding:  make(chan struct{}),
+		makeRoom:    func(*conn) bool { return false },
+		headTimeout: func() time.Duration { return headerTimeout },
 	}
 	n.head.begin()
 	n.readDeadline.expired = make(chan struct{})
@@ -91,7 +104,7 @@
 func (c *conn) closeIfIdle(idleTime time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy.Load() || len(c.chunks) > 0 || time.Since(c.lastUsed) < idleTime {
+	if c.busy || len(c.chunks) > 0 || time.Since(c.lastUsed) < idleTime {
 		return false
 	}
 	c.closing = true
@@ -99,11 +112,51 @@
 	return true
 }
 
-// idleSince returns when the connection was last used, and whether it is idle and open.
-func (c *conn) idleSince() (time.Time, bool) {
+// view returns what the decision depends on which connection gives way.
+func (c *conn) view() inbound.View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastUsed, !c.closing && !c.busy.Load() && len(c.chunks) == 0
+	return c.viewLocked()
+}
+
+func (c *conn) viewLocked() inbound.View {
+	switch {
+	case c.closing || c.busy || c.pipeline.pending():
+		return inbound.View{Phase: inbound.Busy}
+	case !c.headSince.IsZero():
+		return inbound.View{Phase: inbound.Reading, Since: c.headSince, HeadBytes: c.headBytes}
+	case len(c.chunks) > 0: // will be read at once
+		return inbound.View{Phase: inbound.Busy}
+	case c.served:
+		return inbound.View{Phase: inbound.Kept, Since: c.lastUsed}
+	}
+	return inbound.View{Phase: inbound.Fresh, Since: c.lastUsed}
+}
+
+// evict closes the connection unless it has been used since it was in the given phase,
+// and reports whether it did.
+func (c *conn) evict(seen inbound.View) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.viewLocked()
+	if now.Phase != seen.Phase || now.Since != seen.Since {
+		return false
+	}
+	c.closing = true
+	_ = c.Close()
+	return true
+}
+
+// isClosed reports whether the connection has been closed or is being closed.
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.done:
+		return true
+	default:
+		return c.closing
+	}
 }
 
 // startReading starts the goroutine that reads ahead. It calls cancel when the
@@ -227,12 +280,24 @@
 	}
 	n := copy(b, c.unread)
 	c.unread = c.unread[n:]
-	if cost := c.head.read(b[:n]); cost > 0 && !c.held.Add(cost) {
+	if cost := c.head.read(b[:n]); cost > 0 && !c.holdHead(cost) {
 		return 0, errMemoryFull
 	}
 	return n, nil
 }
 
+// holdHead holds memory for a part of a head. It reports false if there is none although
+// larger heads have given way.
+func (c *conn) holdHead(cost int64) bool {
+	c.beginTimeout(cost)
+	for !c.held.Add(cost) {
+		if !c.makeRoom(c) {
+			return false
+		}
+	}
+	return true
+}
+
 // fill waits for the next chunk. A chunk that is available is returned even
 // after the read deadline.
 func (c *conn) fill() error {
@@ -256,8 +321,29 @@
 	return nil
 }
 
-// beginHead is called before the head of a request is read.
-func (c *conn) beginHead() { c.head.begin() }
+// beginTimeout starts the time for a head with its first byte.
+func (c *conn) beginTimeout(cost int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return // the byte that detects the end of the connection
+	}
+	c.headBytes += cost
+	if c.headSince.IsZero() {
+		c.headSince = time.Now()
+		c.headDeadline = c.headSince.Add(c.headTimeout())
+		c.readDeadline.set(c.headDeadline)
+	}
+}
+
+// beginHead is called when a request has been answered, before the next head is read.
+func (c *conn) beginHead() {
+	c.endHead()
+	c.head.begin()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.served, c.lastUsed = false, true, time.Now()
+}
 
 // endHead is called when the head of a request was read. What the request holds from
 // now on is accounted for by its handler.
@@ -267,9 +353,27 @@
 	}
 }
 
+// beginRequest is called before a request is handled. It reports false if the connection
+// has given way meanwhile, so that the request must not be handled.
+func (c *conn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headDeadline.IsZero() {
+		c.readDeadline.set(time.Time{})
+	}
+	c.headSince, c.headDeadline, c.headBytes = time.Time{}, time.Time{}, 0
+	c.busy = !c.closing
+	return c.busy
+}
+
 // SetReadDeadline implements net.Conn. The deadline applies to Read, not to the
-// goroutine that reads ahead.
+// goroutine that reads ahead. It doesn't extend the time for a head.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headDeadline.IsZero() && (t.IsZero() || t.After(c.headDeadline)) {
+		t = c.headDeadline
+	}
 	c.readDeadline.set(t)
 	return nil
 }
@@ -310,6 +414,7 @@
 	if !ok {
 		return ctx
 	}
+	n.makeRoom, n.headTimeout = s.makeRoomForHead, s.headTimeout
 	ctx, cancel := context.WithCancelCause(ctx)
 	n.pipeline = &pipeline{ctx: ctx, server: s}
 	n.startReading(cancel)
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -48,10 +48,11 @@
 	*h = headReader{active: true, atStart: !h.started, started: true}
 }
 
-// end is called when the head is complete. It returns what read has returned.
+// end is called when the head is complete. It returns what read has returned since begin.
 func (h *headReader) end() []int64 {
-	h.active = false
-	return h.costs
+	costs := h.costs
+	h.active, h.costs = false, nil
+	return costs
 }
 
 // skipEmptyLines returns b without the empty lines before the first request.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync/atomic"
 
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/observe"
 )
@@ -46,16 +47,16 @@
 	return l
 }
 
-// listener wraps accepted connections as *conn. If there is no room for another, it
-// closes an idle connection, or the new one.
+// listener wraps accepted connections as *conn. If there is no room for another, an
+// older one gives way, or else the new one is closed.
 type listener struct {
 	net.Listener
 	memory  *memory.Account
 	metrics *observe.Metrics
 	limits  limits
 	open    *atomic.Int64
-	// makeRoom closes an idle connection and reports whether there was one.
-	makeRoom func() bool
+	// makeRoom closes the connection that gives way and reports whether there was one.
+	makeRoom func(inbound.Need) bool
 }
 
 // Accept implements net.Listener.
@@ -67,10 +68,7 @@
 		}
 		held := l.memory.NewCharge()
 		open := l.open.Add(1)
-		if open > l.limits.conns && l.makeRoom() {
-			open = l.open.Load()
-		}
-		if open > l.limits.conns || !held.Add(connBytes) {
+		if !l.admit(held) {
 			l.open.Add(-1)
 			held.Release()
 			l.metrics.Count("connections_rejected")
@@ -83,3 +81,18 @@
 		return newConn(c, held, func() { l.open.Add(-1) }), nil
 	}
 }
+
+// admit holds the memory of a new connection. It reports false if there is no room.
+func (l listener) admit(held *memory.Charge) bool {
+	for l.open.Load() > l.limits.conns {
+		if !l.makeRoom(inbound.Connection) {
+			return false
+		}
+	}
+	for !held.Add(connBytes) {
+		if !l.makeRoom(inbound.Memory) && !l.makeRoom(inbound.Connection) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -229,6 +229,10 @@
 		s.handle(w, r)
 		return
 	}
+	// net/http doesn't report a request as active that it had read with the one before.
+	if !c.beginRequest() {
+		return
+	}
 	a := c.pipeline.begin(r)
 	defer c.pipeline.end()
 	if a == nil {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -10,6 +10,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/cost"
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/quarantine"
 	"celeryhook.example/celeryhook/internal/routing"
@@ -190,13 +191,34 @@
 	case inProgress > r.limits.requests:
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
-	case !r.held.Add(cost):
+	case !r.hold(cost):
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
 	return nil
 }
 
+// hold holds memory for the request. Incomplete heads give way to it.
+func (r *request) hold(n int64) bool {
+	for !r.held.Add(n) {
+		if !r.makeRoom(inbound.Memory) {
+			return false
+		}
+	}
+	return true
+}
+
+// holdBody is hold for a body of known length. Heads don't give way to a large one.
+func (r *request) holdBody(n int64) bool {
+	const largeBody = 256 << 10
+	for !r.held.AddBody(n) {
+		if n > largeBody || !r.makeRoom(inbound.Memory) {
+			return false
+		}
+	}
+	return true
+}
+
 // prepare finds the route, determines the deadline and reads the complete
 // request.
 func (r *request) prepare() *rejection {
@@ -260,7 +282,7 @@
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
-	if n := r.httpRequest.ContentLength; n > 0 && !r.held.AddBody(n) {
+	if n := r.httpRequest.ContentLength; n > 0 && !r.holdBody(n) {
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 	"celeryhook.example/celeryhook/internal/balance"
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/protocol"
@@ -30,8 +31,11 @@
 const (
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the arrival of a header. Configured limits are shorter.
+	// headerTimeout bounds the time until a header is complete: from the start of its
+	// connection, and from its first byte if the configuration sets no limit.
 	headerTimeout = 10 * time.Second
+	// headerSlack is added to the configured limit for delays of the network.
+	headerSlack = time.Second
 	// idleTimeout is longer than every configured one: callers, not the VM, close
 	// idle connections, so that no request arrives on a connection that the VM is
 	// closing.
@@ -162,33 +166,59 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, n)
 	case http.StateActive:
-		n.busy.Store(true)
 		n.endHead()
+		n.beginRequest()
 		_ = n.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	case http.StateIdle:
-		n.busy.Store(false)
 		n.beginHead()
-		n.markUsed()
 	}
 }
 
-// closeLongestIdle closes the connection that has been idle for longest, if it has been
-// for minIdleTime, and reports whether it did.
-func (s *Server) closeLongestIdle() bool {
+// makeRoom closes the connection that gives way, and reports whether there was one.
+func (s *Server) makeRoom(need inbound.Need) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var longest *conn
-	var since time.Time
-	for c := range s.conns {
-		if used, idle := c.idleSince(); idle && (longest == nil || used.Before(since)) {
-			longest, since = c, used
+	return s.evict(need, nil)
+}
+
+// makeRoomForHead is makeRoom for the incomplete head of a connection. It reports false
+// if that connection itself has to give way, or has.
+func (s *Server) makeRoomForHead(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !c.isClosed() && s.evict(inbound.Memory, c)
+}
+
+// evict closes the connection that gives way unless it is keep. It must be called with
+// the lock held.
+func (s *Server) evict(need inbound.Need, keep *conn) bool {
+	// What was selected may have been used meanwhile.
+	const maxSelections = 4
+	for range maxSelections {
+		c, seen, ok := inbound.Select(func(yield func(*conn, inbound.View) bool) {
+			for c := range s.conns {
+				if !yield(c, c.view()) {
+					return
+				}
+			}
+		}, need, time.Now())
+		if !ok || c == keep {
+			return false
+		}
+		if c.evict(seen) {
+			s.Metrics.Count("connections_evicted")
+			return true
 		}
 	}
-	if longest == nil || !longest.closeIfIdle(minIdleTime) {
-		return false
+	return false
+}
+
+// headTimeout returns how long the head of a request may take from its first byte.
+func (s *Server) headTimeout() time.Duration {
+	if table := s.Routes.Table(); table != nil && table.Limits().HeaderTimeout > 0 {
+		return table.Limits().HeaderTimeout + headerSlack
 	}
-	s.Metrics.Count("connections_evicted")
-	return true
+	return headerTimeout
 }
 
 // Listen opens the listener for callers.
@@ -204,7 +234,7 @@
 // Serve accepts connections until Stop.
 func (s *Server) Serve() error {
 	err := s.server.Serve(listener{
-		Listener: s.listener, memory: s.Memory, metrics: s.Metrics, limits: s.limits, open: &s.openConns, makeRoom: s.closeLongestIdle,
+		Listener: s.listener, memory: s.Memory, metrics: s.Metrics, limits: s.limits, open: &s.openConns, makeRoom: s.makeRoom,
 	})
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("ingress: %w", err)
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -8,6 +8,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/inbound"
 )
 
 const (
@@ -24,7 +25,7 @@
 	// defaultStopTimeout applies to a stop whose context has no deadline.
 	defaultStopTimeout = time.Minute
 	// minIdleTime is how long a connection must be idle before the VM closes it.
-	minIdleTime      = 300 * time.Millisecond
+	minIdleTime      = inbound.MinIdleTime
 	idlePollInterval = 50 * time.Millisecond
 )
 
--- a/soak/hostile_test.go
+++ b/soak/hostile_test.go
@@ -11,13 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"celeryhook.example/celeryhook/standin/target"
 	"celeryhook.example/celeryhook/standin/wire"
 )
 
@@ -50,65 +48,12 @@
 // and empty lines without end, and large bodies at once, its process took more memory
 // and descriptors than it has.
 func TestHostileClients(t *testing.T) {
-	is := is.New(t)
-	store := wire.NewStore()
-	is.NoErr(store.Configure(wire.Config{
-		Version: 1, Timeout: 4 * time.Second, MaxBodyBytes: hostileMaxBody,
-		Routes:   []wire.Route{{Name: "read", Prefix: "/read/", Service: "desk"}},
-		Services: []wire.ServiceOptions{{Name: "desk", MaxConns: 200, Cold: coldTime, ColdRate: coldRate}},
-	}))
-	for i := range 2 {
-		s, err := wire.StartServer(store, wire.ServerOptions{ID: fmt.Sprint("t", i), Service: "desk", Zone: "z0", Slots: 8})
-		is.NoErr(err)
-		defer s.Stop()
-		s.SetFaults(target.Faults{ServiceTime: 200 * time.Millisecond})
-	}
-	g, err := newGateway(build(t), t.TempDir(), 0, "z0", store, nil)
-	is.NoErr(err)
-	defer g.close()
-	settings, err := wire.VM{
-		Name: g.name, IP: "127.0.1.1", Zone: g.domain, Callers: g.callers, Ready: g.ready, Peers: g.peers, Store: g.storeLink.Address(),
-		MemoryMB: hostileMemoryMB, MaxFDs: hostileMaxFDs,
-	}.Settings()
-	is.NoErr(err)
-	is.NoErr(os.WriteFile(g.settings, settings, 0o600))
-	is.NoErr(g.start(func(bool, *os.ProcessState) {}))
-	is.True(eventually(g.isReady))
-	is.True(eventually(func() bool { return ordinaryRequest(g) }))
-
-	var maxFDs atomic.Int64
-	stop, watched := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(watched)
-		for {
-			maxFDs.Store(max(maxFDs.Load(), openFDs(g.cmd.Process.Pid)))
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}()
+	g := startLimitedVM(t, hostileMemoryMB, hostileMaxFDs, hostileMaxBody)
+	stop := watchPeaks(g.cmd.Process.Pid, g.callers)
 	runCrowd(g.callers)
-	close(stop)
-	<-watched
-
-	g.mu.Lock()
-	alive := g.running()
-	g.mu.Unlock()
-	if !alive {
-		logProcessOutput(t, g.dir)
-		t.Fatal("the process has exited")
-	}
-	memory := peakMemoryKB(t, g.cmd.Process.Pid)
-	t.Logf("peak of the resident memory %d KB of %d, of the open descriptors %d of %d", memory, hostileMemoryMB<<10, maxFDs.Load(), hostileMaxFDs)
-	if memory > hostileMemoryMB<<10 {
-		t.Errorf("resident memory of %d KB is over the limit of %d MB", memory, hostileMemoryMB)
-	}
-	if n := maxFDs.Load(); n > hostileMaxFDs {
-		t.Errorf("%d open descriptors are over the limit of %d", n, hostileMaxFDs)
-	}
-	if !eventually(func() bool { return ordinaryRequest(g) }) {
+	p := stop()
+	g.requireWithinLimits(t, p)
+	if !eventually(func() bool { return ordinaryRequest(g.gateway) }) {
 		t.Error("an ordinary request isn't answered after the crowd has left")
 	}
 }
