ingress: heads are bounded by the configuration's bytes, not by lines

What callers saw: a single request of legal size in calm, 16,000 bytes of head in over 1,000 lines, was answered 400 and never run.

Cause: a fixed bound of 1,000 lines, whatever the size of the head. It stood in for the memory that short lines take once they are decoded; the configuration's maxHeaderBytes was decoded and not used.

Change: a head may have maxHeaderBytes and 4 KiB, as net/http allows beyond its own limit; 64 KiB and 4 KiB without a configuration, which is what was accepted before.

Evidence: TestLegalHeadOfManyLinesIsServed.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -56,8 +56,10 @@
 	// makeRoom closes another connection so that there is memory for the head of this
 	// one, and reports whether it did.
 	makeRoom func(*conn) bool
-	// headTimeout returns how long a head may take from its first byte.
-	headTimeout func() time.Duration
+	// headTimeout and maxHeadBytes return how long a head may take from its first byte,
+	// and how large it may be.
+	headTimeout  func() time.Duration
+	maxHeadBytes func() int64
 	// onClose is called once when the connection is closed.
 	onClose func()
 	// mu serialises the arrival of data, the start of requests and the decision to
@@ -82,7 +84,7 @@
 		Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{}), held: held, taken: make(chan struct{}, 1), used: make(chan []byte, 1), onClose: onClose,
 		discarding:  make(chan struct{}),
 		makeRoom:    func(*conn) bool { return false },
-		headTimeout: func() time.Duration { return headerTimeout },
+		headTimeout: func() time.Duration { return headerTimeout }, maxHeadBytes: func() int64 { return defaultHeadBytes + headBytesSlack },
 	}
 	n.head.begin()
 	n.readDeadline.expired = make(chan struct{})
@@ -280,6 +282,9 @@
 	}
 	n := copy(b, c.unread)
 	c.unread = c.unread[n:]
+	if c.head.active && c.head.size == 0 {
+		c.head.limit = c.maxHeadBytes()
+	}
 	if cost := c.head.read(b[:n]); cost > 0 && !c.holdHead(cost) {
 		return 0, errMemoryFull
 	}
@@ -414,7 +419,7 @@
 	if !ok {
 		return ctx
 	}
-	n.makeRoom, n.headTimeout = s.makeRoomForHead, s.headTimeout
+	n.makeRoom, n.headTimeout, n.maxHeadBytes = s.makeRoomForHead, s.headTimeout, s.maxHeadBytes
 	ctx, cancel := context.WithCancelCause(ctx)
 	n.pipeline = &pipeline{ctx: ctx, server: s}
 	n.startReading(cancel)
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxHeadLines bounds the lines of a request's head. Each takes over 100 bytes
-	// once it is decoded, however short it is.
-	maxHeadLines = 1000
+	// defaultHeadBytes bounds a head if the configuration sets no limit.
+	defaultHeadBytes = 64 << 10
+	// headBytesSlack is added to the limit, as net/http does.
+	headBytesSlack = 4 << 10
 	// maxEmptyLines bounds the empty lines before the first request of a connection.
 	maxEmptyLines = 16
 	// headLineCost and headByteCost are the memory in bytes that a line and a byte of a
@@ -37,6 +38,8 @@
 	// atStart is set until the first request of the connection begins.
 	atStart, started bool
 	empty, lines     int
+	// size is the number of bytes of the head, and limit how many it may have.
+	size, limit int64
 	// text is set if the current line isn't empty so far, and ended if an empty line
 	// has ended the head.
 	text, ended bool
@@ -77,6 +80,7 @@
 	lines := h.lines
 	for rest := b; len(rest) > 0 && !h.ended; {
 		line, after, complete := bytes.Cut(rest, []byte{'\n'})
+		h.size += int64(len(rest) - len(after))
 		h.text = h.text || len(bytes.Trim(line, "\r")) > 0
 		if !complete {
 			break
@@ -90,10 +94,10 @@
 	return cost
 }
 
-// check returns an error if the server reads on although the head is out of bounds. A
+// check returns an error if the server reads on although the head is over its limit. A
 // head that is complete isn't checked: what follows its end is not part of it.
 func (h *headReader) check() error {
-	if h.active && !h.ended && h.lines > maxHeadLines {
+	if h.active && !h.ended && h.size > h.limit {
 		return errHead
 	}
 	return nil
@@ -108,14 +112,14 @@
 	return nil
 }
 
-// headSize returns the lines of a header and the memory in bytes that it takes.
-func headSize(r *http.Request) (lines int, cost int64) {
-	size := len(r.RequestURI) + len(r.Host)
+// headCost returns the memory in bytes that a header takes.
+func headCost(r *http.Request) int64 {
+	size, lines := len(r.RequestURI)+len(r.Host), 0
 	for name, values := range r.Header {
 		for _, v := range values {
 			lines++
 			size += len(name) + len(v)
 		}
 	}
-	return lines, int64(size)*headByteCost + int64(lines)*headLineCost
+	return int64(size)*headByteCost + int64(lines)*headLineCost
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -180,18 +180,14 @@
 	return &rejection{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter, unread: true}
 }
 
-// checkRoom rejects a request whose head has too many lines, or for which there is no
-// room. Its argument is the number of requests in progress, this one included.
+// checkRoom rejects a request for which there is no room. Its argument is the number of
+// requests in progress, this one included.
 func (r *request) checkRoom(inProgress int64) *rejection {
-	lines, cost := headSize(r.httpRequest)
 	switch {
-	case lines > maxHeadLines:
-		r.w.Header().Set("Connection", "close")
-		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "too-many-lines"}
 	case inProgress > r.limits.requests:
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
-	case !r.hold(cost):
+	case !r.hold(headCost(r.httpRequest)):
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds a request's header whatever the configuration allows.
+	maxHeaderBytes = 1 << 20
 	// headerTimeout bounds the time until a header is complete: from the start of its
 	// connection, and from its first byte if the configuration sets no limit.
 	headerTimeout = 10 * time.Second
@@ -221,6 +221,15 @@
 	return headerTimeout
 }
 
+// maxHeadBytes returns how large the head of a request may be.
+func (s *Server) maxHeadBytes() int64 {
+	limit := defaultHeadBytes
+	if table := s.Routes.Table(); table != nil && table.Limits().HeaderBytes > 0 {
+		limit = table.Limits().HeaderBytes
+	}
+	return int64(limit) + headBytesSlack
+}
+
 // Listen opens the listener for callers.
 func (s *Server) Listen(address string) error {
 	l, err := accept.Listen(address)
--- a/soak/hostile_heads_test.go
+++ b/soak/hostile_heads_test.go
@@ -1,11 +1,18 @@
 package soak
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"celeryhook.example/celeryhook/standin/wire"
 )
 
 // Guards against clients that keep ordinary callers out with heads that don't end: they
@@ -43,3 +50,47 @@
 		})
 	}
 }
+
+// Guards against a VM that denies a single request within the limits of the
+// configuration because its head has many lines.
+func TestLegalHeadOfManyLinesIsServed(t *testing.T) {
+	g := startLimitedVM(t, hostileMemoryMB, hostileMaxFDs, 0)
+	for name, line := range map[string]string{"short": "a:\r\n", "short, distinct": "%x:\r\n", "with values": "a: b\r\n", "with values, distinct": "x%x: b\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			head := headOfLines("GET", "lines", line, 1<<20, legalHeadBytes)
+			head.WriteString("\r\n")
+			is.True(head.Len() <= legalHeadBytes)
+			status, stamped := 0, false
+			for range maxOrdinaryAttempts {
+				if status, stamped = exchangeHead(t, g.callers, head.Bytes()); status != 0 && status != http.StatusServiceUnavailable {
+					break
+				}
+			}
+			is.Equal(status, http.StatusOK)
+			is.True(stamped)
+		})
+	}
+	if !ordinaryCaller(g.gateway) {
+		t.Error("an ordinary request isn't answered")
+	}
+}
+
+// exchangeHead sends a request without a body. It returns the status, 0 if there was no
+// response, and whether a target has answered.
+func exchangeHead(t *testing.T, address string, head []byte) (status int, stamped bool) {
+	c, err := net.DialTimeout("tcp", address, clientTimeout)
+	is.New(t).NoErr(err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(clientTimeout))
+	if _, err := c.Write(head); err != nil {
+		return 0, false
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, false
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode, wire.Stamp(res.Header) != ""
+}
