ingress: a new connection waits for unread ones, whole heads don't give way

What callers saw: of many clients that connect at once, all but the first were closed unread, an ordinary caller among them.

Cause: the listener accepts faster than the first bytes of connections are read. Until then no connection gives way, so that the new one is rejected. Also, a head that had arrived in full still counted as incomplete until it was decoded, and could give way in that time.

A head that was read in full doesn't give way. The observer of heads moves to internal/inbound, for the other listeners.

--- a/internal/inbound/doc.go
+++ b/internal/inbound/doc.go
@@ -1,3 +1,3 @@
-// Package inbound decides which connection of a listener gives way if there is no room
-// for what a client sends.
+// Package inbound observes the heads that clients send, and decides which connection of
+// a listener gives way if there is no room.
 package inbound
--- /dev/null
+++ b/internal/inbound/room.go
@@ -0,0 +1,39 @@
+package inbound
+
+import "time"
+
+// Room lets a listener wait for room for a new connection.
+type Room struct{ changed chan struct{} }
+
+// NewRoom returns a Room.
+func NewRoom() *Room { return &Room{changed: make(chan struct{}, 1)} }
+
+// Changed is called when a connection was closed, or may give way that couldn't before.
+func (r *Room) Changed() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Await calls try until it reports that there is room, and reports whether there was.
+// It gives up if try reports that it isn't worth waiting, which is so unless the first
+// request of a connection hasn't begun, and after MinIdleTime. Without the wait, of many
+// clients that connect at once all but the first few are rejected, because nothing has
+// been read yet of the connections that would give way.
+func (r *Room) Await(try func() (room, mayWait bool)) bool {
+	timeout := time.NewTimer(MinIdleTime)
+	defer timeout.Stop()
+	for {
+		room, mayWait := try()
+		if room || !mayWait {
+			return room
+		}
+		select {
+		case <-r.changed:
+		case <-timeout.C:
+			room, _ = try()
+			return room
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/inbound"
@@ -52,7 +53,9 @@
 	taken chan struct{}
 	// extra is the number of chunks ahead that are part of held.
 	extra atomic.Int64
-	head  headReader
+	head  inbound.Head
+	// room is told when the connection may give way.
+	room *inbound.Room
 	// makeRoom closes another connection so that there is memory for the head of this
 	// one, and reports whether it did.
 	makeRoom func(*conn) bool
@@ -75,6 +78,8 @@
 	// and the memory that the head holds; headDeadline is when it must be complete.
 	headSince, headDeadline time.Time
 	headBytes               int64
+	// headComplete is set once the whole head has been read, before its request begins.
+	headComplete bool
 }
 
 // newConn returns a connection that holds memory of the charge, which it releases
@@ -82,11 +87,11 @@
 func newConn(c net.Conn, held *memory.Charge, onClose func()) *conn {
 	n := &conn{
 		Conn: c, chunks: make(chan []byte, maxChunksAhead), done: make(chan struct{}), held: held, taken: make(chan struct{}, 1), used: make(chan []byte, 1), onClose: onClose,
-		discarding:  make(chan struct{}),
-		makeRoom:    func(*conn) bool { return false },
-		headTimeout: func() time.Duration { return headerTimeout }, maxHeadBytes: func() int64 { return defaultHeadBytes + headBytesSlack },
+		discarding: make(chan struct{}),
+		room:       inbound.NewRoom(), makeRoom: func(*conn) bool { return false },
+		headTimeout: func() time.Duration { return headerTimeout }, maxHeadBytes: func() int64 { return inbound.DefaultHeadBytes + inbound.HeadSlack },
 	}
-	n.head.begin()
+	n.head.Begin()
 	n.readDeadline.expired = make(chan struct{})
 	n.lastUsed = time.Now()
 	return n
@@ -123,7 +128,7 @@
 
 func (c *conn) viewLocked() inbound.View {
 	switch {
-	case c.closing || c.busy || c.pipeline.pending():
+	case c.closing || c.busy || c.headComplete || c.pipeline.pending():
 		return inbound.View{Phase: inbound.Busy}
 	case !c.headSince.IsZero():
 		return inbound.View{Phase: inbound.Reading, Since: c.headSince, HeadBytes: c.headBytes}
@@ -149,6 +154,13 @@
 	return true
 }
 
+// isFresh reports whether the first request of the connection hasn't begun.
+func (c *conn) isFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing && !c.busy && !c.served && !c.headComplete
+}
+
 // isClosed reports whether the connection has been closed or is being closed.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
@@ -261,7 +273,7 @@
 	// A read of one byte only detects the end of the connection while a request is
 	// in progress.
 	if len(b) > 1 {
-		if err := c.head.check(); err != nil {
+		if err := c.head.Check(); err != nil {
 			return 0, err
 		}
 	}
@@ -272,8 +284,8 @@
 				return 0, err
 			}
 		}
-		c.unread = c.head.skipEmptyLines(c.unread)
-		if err := c.head.checkEmptyLines(); err != nil {
+		c.unread = c.head.SkipEmptyLines(c.unread)
+		if err := c.head.CheckEmptyLines(); err != nil {
 			return 0, err
 		}
 		if len(c.unread) > 0 {
@@ -282,10 +294,8 @@
 	}
 	n := copy(b, c.unread)
 	c.unread = c.unread[n:]
-	if c.head.active && c.head.size == 0 {
-		c.head.limit = c.maxHeadBytes()
-	}
-	if cost := c.head.read(b[:n]); cost > 0 && !c.holdHead(cost) {
+	c.head.Limit(c.maxHeadBytes)
+	if cost := c.head.Read(b[:n]); cost > 0 && !c.holdHead(cost) {
 		return 0, errMemoryFull
 	}
 	return n, nil
@@ -334,26 +344,31 @@
 		return // the byte that detects the end of the connection
 	}
 	c.headBytes += cost
+	c.headComplete = c.head.Complete()
 	if c.headSince.IsZero() {
 		c.headSince = time.Now()
 		c.headDeadline = c.headSince.Add(c.headTimeout())
 		c.readDeadline.set(c.headDeadline)
 	}
+	if !c.headComplete {
+		c.room.Changed()
+	}
 }
 
 // beginHead is called when a request has been answered, before the next head is read.
 func (c *conn) beginHead() {
 	c.endHead()
-	c.head.begin()
+	c.head.Begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.served, c.lastUsed = false, true, time.Now()
+	c.room.Changed()
 }
 
 // endHead is called when the head of a request was read. What the request holds from
 // now on is accounted for by its handler.
 func (c *conn) endHead() {
-	for _, cost := range c.head.end() {
+	for _, cost := range c.head.End() {
 		c.held.Sub(cost)
 	}
 }
@@ -366,7 +381,7 @@
 	if !c.headDeadline.IsZero() {
 		c.readDeadline.set(time.Time{})
 	}
-	c.headSince, c.headDeadline, c.headBytes = time.Time{}, time.Time{}, 0
+	c.headSince, c.headDeadline, c.headBytes, c.headComplete = time.Time{}, time.Time{}, 0, false
 	c.busy = !c.closing
 	return c.busy
 }
@@ -410,6 +425,10 @@
 	return nil
 }
 
+// errMemoryFull is returned by a read of a head for which there is no memory. The
+// HTTP server closes the connection without a response.
+var errMemoryFull = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ENOMEM}
+
 type connKey struct{}
 
 // connContext starts reading ahead and returns a context that is cancelled when
@@ -419,7 +438,7 @@
 	if !ok {
 		return ctx
 	}
-	n.makeRoom, n.headTimeout, n.maxHeadBytes = s.makeRoomForHead, s.headTimeout, s.maxHeadBytes
+	n.room, n.makeRoom, n.headTimeout, n.maxHeadBytes = s.room, s.makeRoomForHead, s.headTimeout, s.maxHeadBytes
 	ctx, cancel := context.WithCancelCause(ctx)
 	n.pipeline = &pipeline{ctx: ctx, server: s}
 	n.startReading(cancel)
--- a/internal/ingress/evict_test.go
+++ b/internal/ingress/evict_test.go
@@ -181,3 +181,23 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against clients that keep an ordinary caller out by connecting at once, so that
+// no byte of the connections that would give way has been read yet.
+func TestUnreadConnectionsAreAwaited(t *testing.T) {
+	is := is.New(t)
+	f := newFixtureWith(t, nil, func(s *Server) { s.limits.conns = 2 })
+	for range 20 {
+		var crowd []net.Conn
+		for range 30 {
+			c, err := net.Dial("tcp", f.address)
+			is.NoErr(err)
+			_, _ = io.WriteString(c, requestStart) // the connection may have been closed
+			crowd = append(crowd, c)
+		}
+		is.Equal(exchangeRaw(t, f, 1, headOf(2)), []int{200})
+		for _, c := range crowd {
+			_ = c.Close()
+		}
+	}
+}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -57,6 +57,9 @@
 	open    *atomic.Int64
 	// makeRoom closes the connection that gives way and reports whether there was one.
 	makeRoom func(inbound.Need) bool
+	// mayGiveWaySoon reports whether a connection may soon give way.
+	mayGiveWaySoon func() bool
+	room           *inbound.Room
 }
 
 // Accept implements net.Listener.
@@ -68,7 +71,10 @@
 		}
 		held := l.memory.NewCharge()
 		open := l.open.Add(1)
-		if !l.admit(held) {
+		if !l.room.Await(func() (room, mayWait bool) {
+			room = l.admit(held)
+			return room, !room && l.mayGiveWaySoon()
+		}) {
 			l.open.Add(-1)
 			held.Release()
 			l.metrics.Count("connections_rejected")
@@ -78,7 +84,10 @@
 		if t, ok := c.(*net.TCPConn); ok && open > l.limits.crowded {
 			_ = t.SetReadBuffer(crowdedReadBuffer) // without it, the kernel's default applies
 		}
-		return newConn(c, held, func() { l.open.Add(-1) }), nil
+		return newConn(c, held, func() {
+			l.open.Add(-1)
+			l.room.Changed()
+		}), nil
 	}
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -187,7 +187,7 @@
 	case inProgress > r.limits.requests:
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
-	case !r.hold(headCost(r.httpRequest)):
+	case !r.hold(inbound.HeadCost(r.httpRequest)):
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -120,6 +120,7 @@
 	inProgress  atomic.Int64
 	limits      limits
 	openConns   atomic.Int64
+	room        *inbound.Room
 	// responseMargin and responseTimeout are fields for the tests.
 	responseMargin, responseTimeout time.Duration
 	mu                              sync.Mutex
@@ -128,7 +129,7 @@
 
 // NewServer returns a server that doesn't listen yet.
 func NewServer(o Options) *Server {
-	s := &Server{Options: o, conns: make(map[*conn]struct{}), responseMargin: responseMargin, responseTimeout: responseTimeout}
+	s := &Server{Options: o, conns: make(map[*conn]struct{}), room: inbound.NewRoom(), responseMargin: responseMargin, responseTimeout: responseTimeout}
 	if s.Memory == nil {
 		s.Memory = memory.NewAccount(memory.DefaultLimit)
 	}
@@ -181,6 +182,18 @@
 	return s.evict(need, nil)
 }
 
+// mayGiveWaySoon reports whether there is a connection whose first request hasn't begun.
+func (s *Server) mayGiveWaySoon() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.isFresh() {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoomForHead is makeRoom for the incomplete head of a connection. It reports false
 // if that connection itself has to give way, or has.
 func (s *Server) makeRoomForHead(c *conn) bool {
@@ -223,11 +236,11 @@
 
 // maxHeadBytes returns how large the head of a request may be.
 func (s *Server) maxHeadBytes() int64 {
-	limit := defaultHeadBytes
+	limit := inbound.DefaultHeadBytes
 	if table := s.Routes.Table(); table != nil && table.Limits().HeaderBytes > 0 {
 		limit = table.Limits().HeaderBytes
 	}
-	return int64(limit) + headBytesSlack
+	return int64(limit) + inbound.HeadSlack
 }
 
 // Listen opens the listener for callers.
@@ -244,6 +257,7 @@
 func (s *Server) Serve() error {
 	err := s.server.Serve(listener{
 		Listener: s.listener, memory: s.Memory, metrics: s.Metrics, limits: s.limits, open: &s.openConns, makeRoom: s.makeRoom,
+		mayGiveWaySoon: s.mayGiveWaySoon, room: s.room,
 	})
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("ingress: %w", err)
