node: the listeners for probes and messages have limits of their own

What was seen: 300 clients that send heads of short lines without end to the listener of the load balancer's probes, or to that of other VMs, took the process of a VM of 144 MB to 1.6 and 1.8 GB.

Cause: these listeners had the defaults of net/http: heads of 1 MiB, any number of connections, and no account of what lines take once they are decoded.

Change: inbound.Guard bounds connections, bytes of heads and the memory of heads for an HTTP server, and lets a connection with an incomplete head give way to a new one. Each of the listeners for messages, probes and metrics has a guard. Their accounts are separate from that of callers, so that neither crowd can take what the others need. No bound is in reach of a probe or message: some hundred bytes of head each, and at most three connections from each other VM.

--- a/internal/inbound/doc.go
+++ b/internal/inbound/doc.go
@@ -1,3 +1,3 @@
-// Package inbound observes the heads that clients send, and decides which connection of
-// a listener gives way if there is no room.
+// Package inbound bounds what the clients of an HTTP server may hold: connections, and
+// the memory of heads. If there is no room, it decides which connection gives way.
 package inbound
--- /dev/null
+++ b/internal/inbound/guard.go
@@ -0,0 +1,295 @@
+package inbound
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"celeryhook.example/celeryhook/internal/memory"
+	"celeryhook.example/celeryhook/internal/observe"
+)
+
+// errMemoryFull is returned by a read of a head for which there is no memory. The
+// HTTP server closes the connection without a response.
+var errMemoryFull = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ENOMEM}
+
+// Limits bound what the clients of a server may hold.
+type Limits struct {
+	// Conns is the number of connections.
+	Conns int
+	// HeadBytes is the size of a head.
+	HeadBytes int
+	// Heads is the account of the heads, from their first byte until their request has
+	// been answered.
+	Heads *memory.Account
+}
+
+// Guard keeps the clients of one HTTP server within limits. A connection that there is
+// no room for displaces another one, see Select.
+type Guard struct {
+	name    string
+	limits  Limits
+	metrics *observe.Metrics
+	room    *Room
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewGuard returns a guard that counts rejected and evicted connections under the name.
+func NewGuard(name string, l Limits, m *observe.Metrics) *Guard {
+	return &Guard{name: name, limits: l, metrics: m, room: NewRoom(), conns: make(map[*Conn]struct{})}
+}
+
+// Protect makes a server that accepts from Listener report the states of its
+// connections.
+func (g *Guard) Protect(s *http.Server) {
+	s.MaxHeaderBytes = g.limits.HeadBytes
+	s.ConnState = SetState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && !BeginRequest(c) {
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// Listener wraps a listener.
+func (g *Guard) Listener(l net.Listener) net.Listener { return guardedListener{l, g} }
+
+type guardedListener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept implements net.Listener.
+func (l guardedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if n := l.guard.admit(c); n != nil {
+			return n, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// admit returns the guarded connection, or nil if there is no room for it.
+func (g *Guard) admit(c net.Conn) (n *Conn) {
+	if !g.room.Await(func() (room, mayWait bool) {
+		n, mayWait = g.tryAdmit(c)
+		return n != nil, mayWait
+	}) {
+		g.metrics.Count("connections_rejected", g.name)
+	}
+	return n
+}
+
+// tryAdmit returns the guarded connection, or nil if there is no room for it, and whether
+// there may soon be.
+func (g *Guard) tryAdmit(c net.Conn) (n *Conn, mayWait bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) >= g.limits.Conns && !g.evict(Connection, nil) {
+		for c := range g.conns {
+			mayWait = mayWait || c.view().Phase == Fresh
+		}
+		return nil, mayWait
+	}
+	n = &Conn{Conn: c, guard: g, held: g.limits.Heads.NewCharge(), since: time.Now()}
+	n.head.Begin()
+	g.conns[n] = struct{}{}
+	return n, false
+}
+
+// makeRoom closes a connection with a larger head than that of c. It reports false if
+// there is none, or if c has been closed.
+func (g *Guard) makeRoom(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.conns[c]; !open {
+		return false
+	}
+	return g.evict(Memory, c)
+}
+
+// evict closes the connection that gives way unless it is keep, and reports whether it
+// did. It must be called with the lock held.
+func (g *Guard) evict(need Need, keep *Conn) bool {
+	c, _, ok := Select(func(yield func(*Conn, View) bool) {
+		for c := range g.conns {
+			if !yield(c, c.view()) {
+				return
+			}
+		}
+	}, need, time.Now())
+	if !ok || c == keep || !c.giveWay() {
+		return false
+	}
+	delete(g.conns, c)
+	c.held.Release()
+	g.metrics.Count("connections_evicted", g.name)
+	return true
+}
+
+func (g *Guard) remove(c *Conn) {
+	g.mu.Lock()
+	delete(g.conns, c)
+	g.mu.Unlock()
+	g.room.Changed()
+}
+
+// Conn is a connection of a guarded listener.
+type Conn struct {
+	net.Conn
+	guard *Guard
+	held  *memory.Charge
+	// head is used by the goroutine that reads.
+	head Head
+
+	mu sync.Mutex
+	// busy is set from the end of a head until its request has been answered, served once one has been answered, and
+	// closing once the connection has given way.
+	busy, served, closing bool
+	// since is when the head began, or when the connection was last used.
+	since     time.Time
+	headBytes int64
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	if len(b) == 1 {
+		return c.Conn.Read(b) // net/http detects the end of the connection
+	}
+	for {
+		if err := c.head.Check(); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(b)
+		rest := c.head.SkipEmptyLines(b[:n])
+		if err := c.head.CheckEmptyLines(); err != nil {
+			return 0, err
+		}
+		if n > 0 && len(rest) == 0 && err == nil {
+			continue // only empty lines
+		}
+		n = copy(b, rest)
+		c.head.Limit(func() int64 { return int64(c.guard.limits.HeadBytes) + HeadSlack })
+		if cost := c.head.Read(b[:n]); cost > 0 && !c.hold(cost) {
+			return 0, errMemoryFull
+		}
+		return n, err
+	}
+}
+
+// hold holds memory for a part of a head. It reports false if there is none although
+// larger heads have given way.
+func (c *Conn) hold(cost int64) bool {
+	c.mu.Lock()
+	if c.headBytes == 0 {
+		c.since = time.Now()
+	}
+	c.headBytes += cost
+	c.busy = c.busy || !c.closing && c.head.Complete()
+	add := c.held.Add
+	if c.headBytes > SmallHead {
+		add = c.held.AddBody
+	}
+	c.mu.Unlock()
+	c.guard.room.Changed()
+	for !add(cost) {
+		if !c.guard.makeRoom(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Conn) view() View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.busy:
+		return View{Phase: Busy}
+	case c.headBytes > 0:
+		return View{Phase: Reading, Since: c.since, HeadBytes: c.headBytes}
+	case c.served:
+		return View{Phase: Kept, Since: c.since}
+	}
+	return View{Phase: Fresh, Since: c.since}
+}
+
+// giveWay closes the connection unless a request has begun.
+func (c *Conn) giveWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return false
+	}
+	c.closing = true
+	_ = c.Conn.Close()
+	return true
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.guard.remove(c)
+	c.held.Release()
+	return c.Conn.Close()
+}
+
+// CloseWrite lets net/http half-close the connection, so that a reset doesn't discard
+// the response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetState records the state that an HTTP server reports of a connection. Other
+// connections than guarded ones are ignored.
+func SetState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.head.End()
+		BeginRequest(c)
+	case http.StateIdle:
+		c.finishRequest()
+	}
+}
+
+// BeginRequest is called before a request is handled. It reports false if its
+// connection has given way meanwhile, so that the request must not be handled.
+func BeginRequest(conn net.Conn) bool {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = !c.closing
+	return c.busy
+}
+
+// finishRequest is called when a request has been answered.
+func (c *Conn) finishRequest() {
+	c.head.Begin()
+	c.held.Reset()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.served, c.headBytes, c.since = false, true, 0, time.Now()
+}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -82,8 +82,8 @@
 	return a.takeLarge(n, a.limit)
 }
 
-// TakeBody is Take for the body of a request. It leaves a part of the account to
-// connections and heads, so that requests without a body can still be served.
+// TakeBody is Take for a body or another large part of a request. It leaves a part of the
+// account to connections and small heads, so that ordinary requests can still be served.
 func (a *Account) TakeBody(n int64) bool {
 	limit := a.limit - a.limit/bodyReserve
 	if n < largeBytes {
@@ -213,13 +213,25 @@
 	}
 }
 
-// Release releases everything. Further calls have no effect.
-func (c *Charge) Release() {
+// Reset releases everything. More may be held afterwards.
+func (c *Charge) Reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.released = true
+	c.giveAll()
+}
+
+func (c *Charge) giveAll() {
 	for _, n := range c.held {
 		c.account.Give(n)
 	}
+	c.held = c.held[:0]
+}
+
+// Release releases everything. Further calls have no effect.
+func (c *Charge) Release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released = true
+	c.giveAll()
 	c.held = nil
 }
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -78,14 +76,14 @@
 	meshServer := mesh.NewServer(n.clock, n.replicaRing, n.assignerRing, n.renewerRing, n.quarantineRing, n.platform).
 		WithLoadView(n.exchange.ring).ServeQuotas(n.accountRing)
 	meshHandler := mesh.NewHandler(meshServer)
-	if err := n.startServer(n.settings.MeshAddress, meshHandler); err != nil {
+	if err := n.startServer("messages", n.settings.MeshAddress, meshHandler, n.settings.messageLimits()); err != nil {
 		return err
 	}
-	if err := n.startServer(n.settings.ReadyAddress, n.readyHandler()); err != nil {
+	if err := n.startServer("probes", n.settings.ReadyAddress, n.readyHandler(), n.settings.probeLimits()); err != nil {
 		return err
 	}
 	if o.MetricsAddress != "" {
-		if err := n.startServer(o.MetricsAddress, n.metricsHandler()); err != nil {
+		if err := n.startServer("metrics", o.MetricsAddress, n.metricsHandler(), n.settings.probeLimits()); err != nil {
 			return err
 		}
 	}
@@ -101,23 +99,6 @@
 	return nil
 }
 
-// startServer starts an HTTP server that runs until stop.
-func (n *Process) startServer(address string, h http.Handler) error {
-	const headerTimeout = 5 * time.Second
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	n.servers = append(n.servers, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error(err, "listener failed", "address", address)
-		}
-	}()
-	return nil
-}
-
 func (n *Process) readyHandler() http.Handler {
 	e := gin.New()
 	e.GET(n.settings.ReadyPath, func(c *gin.Context) {
