app: the listeners of the entry VM bound connections and heads

What was seen: 600 connections with incomplete heads of 65,000 bytes in short lines took the process of an entry VM to 602 to 660 MB, at each of its listeners.

Cause: each head is bounded, but all together are not: 16,000 lines of one take about 1 MB once they are decoded, and connections had no bound.

Change: the listeners for callers, other VMs and operators have an inbound.Guard each. Two settings, [callers] connections and head_memory, set the bounds for callers; the default of the second holds two of the largest heads that header_bytes allows. A head that takes over 32 KiB is part of that memory until its request has been answered, so that complete heads of many lines are bounded too. Heads for operators are at most 16 KiB.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -59,7 +59,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	HeaderReceived(r.Context())
+	if !HeaderReceived(r.Context()) {
+		return
+	}
 	if h.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -20,6 +20,8 @@
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
 	"celeryhook.example/celeryhook/internal/forward"
+	"celeryhook.example/celeryhook/internal/inbound"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/observe"
 	"celeryhook.example/celeryhook/internal/policy"
 	"celeryhook.example/celeryhook/internal/target"
@@ -169,7 +171,7 @@
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 100 * time.Millisecond, ReadTimeout: 200 * time.Millisecond, MaxHeaderBytes: 8 << 10}
 	TrackConnStates(s)
-	go func() { _ = s.Serve(NewListener(l, m)) }()
+	go func() { _ = s.Serve(NewListener(l, testGuard(m), m)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String(), m, s
 }
@@ -287,7 +289,7 @@
 	inner, err := Listen("127.0.0.1:0")
 	is.NoErr(err)
 	m := observe.NewMetrics()
-	l := NewListener(inner, m)
+	l := NewListener(inner, testGuard(m), m)
 	early, err := net.Dial("tcp", inner.Addr().String())
 	is.NoErr(err)
 	defer early.Close()
@@ -300,3 +302,8 @@
 	is.NoErr(accepted.Close())
 	is.NoErr(l.Close())
 }
+
+// testGuard returns a guard whose limits the tests don't reach.
+func testGuard(m *observe.Metrics) *inbound.Guard {
+	return inbound.NewGuard("callers", inbound.Limits{Conns: 1000, HeadBytes: 64 << 10, Heads: memory.NewAccount(64 << 20)}, m)
+}
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -16,6 +16,7 @@
 
 	"celeryhook.example/celeryhook/internal/core"
 	"celeryhook.example/celeryhook/internal/duty"
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/observe"
 )
 
@@ -34,6 +35,7 @@
 // while the server stops.
 type Listener struct {
 	net.Listener
+	guard   *inbound.Guard
 	metrics *observe.Metrics
 	// stopResponse returns the response, sent with status 503, to requests that
 	// arrive while the server stops.
@@ -53,9 +55,9 @@
 	return l, nil
 }
 
-// NewListener wraps a listener for callers.
-func NewListener(l net.Listener, m *observe.Metrics) *Listener {
-	return NewListenerWithStopResponse(l, m, func() (string, []byte) {
+// NewListener wraps a listener for callers, whose connections the guard admits.
+func NewListener(l net.Listener, g *inbound.Guard, m *observe.Metrics) *Listener {
+	return NewListenerWithStopResponse(l, g, m, func() (string, []byte) {
 		return problemType, encode(newProblem(core.OutcomeNotRun, "the VM is stopping", ""))
 	})
 }
@@ -63,13 +65,13 @@
 // NewListenerWithStopResponse wraps a listener for clients other than callers:
 // requests that arrive while the server stops get the given response with
 // status 503 in place of a problem.
-func NewListenerWithStopResponse(l net.Listener, m *observe.Metrics, stopResponse func() (contentType string, body []byte)) *Listener {
-	return &Listener{Listener: l, metrics: m, stopResponse: stopResponse}
+func NewListenerWithStopResponse(l net.Listener, g *inbound.Guard, m *observe.Metrics, stopResponse func() (contentType string, body []byte)) *Listener {
+	return &Listener{Listener: l, guard: g, metrics: m, stopResponse: stopResponse}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.guard.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +112,7 @@
 		if c, ok := c.(*conn); ok {
 			c.headerPending.Store(state == http.StateActive)
 			c.idle.Store(state == http.StateIdle)
+			inbound.SetState(c.Conn, state)
 		}
 	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -120,11 +123,15 @@
 type connKey struct{}
 
 // HeaderReceived records that a handler has received the header of a request.
-// Handlers of a server with TrackConnStates must call it first.
-func HeaderReceived(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		c.headerPending.Store(false)
+// Handlers of a server with TrackConnStates must call it first. It reports false if the
+// connection has been closed for another one, so that the request must not be handled.
+func HeaderReceived(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return true
 	}
+	c.headerPending.Store(false)
+	return inbound.BeginRequest(c.Conn)
 }
 
 type conn struct {
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,20 +14,35 @@
 
 	"celeryhook.example/celeryhook/internal/accept"
 	"celeryhook.example/celeryhook/internal/core"
+	"celeryhook.example/celeryhook/internal/inbound"
 	"celeryhook.example/celeryhook/internal/membership"
+	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/peer"
 	"celeryhook.example/celeryhook/internal/peer/peerpb"
 	"celeryhook.example/celeryhook/internal/route"
 	"celeryhook.example/celeryhook/internal/settings"
 )
 
-// internalLimits apply to the connections of other VMs and of operators. HeaderBytes
-// also applies to the responses that this VM gets.
+// internalLimits apply to the connections of other VMs. HeaderBytes also applies to the
+// responses that this VM gets.
 var internalLimits = settings.Callers{
 	HeaderTimeout: 5 * time.Second,
 	ReadTimeout:   30 * time.Second,
 	IdleTimeout:   60 * time.Second,
 	HeaderBytes:   64 << 10,
+	Connections:   settings.DefaultConnections,
+	HeadMemory:    settings.DefaultHeadMemory,
+}
+
+// operatorLimits apply to the connections of operators and of the load balancer's
+// probes. The longest head asks to explain a key of 4 KiB in escaped form.
+var operatorLimits = settings.Callers{
+	HeaderTimeout: internalLimits.HeaderTimeout,
+	ReadTimeout:   internalLimits.ReadTimeout,
+	IdleTimeout:   internalLimits.IdleTimeout,
+	HeaderBytes:   16 << 10,
+	Connections:   256,
+	HeadMemory:    4 << 20,
 }
 
 func listen(addresses ...*string) ([]net.Listener, error) {
@@ -56,6 +72,17 @@
 	}
 }
 
+// newGuard returns the guard of a listener, which has room for one head at least,
+// whatever its lines are.
+func (p *Process) newGuard(listener string, l settings.Callers) *inbound.Guard {
+	headBytes := cmp.Or(l.HeaderBytes, internalLimits.HeaderBytes)
+	limits := inbound.Limits{
+		Conns: cmp.Or(l.Connections, settings.DefaultConnections), HeadBytes: headBytes,
+		Heads: memory.NewAccount(max(cmp.Or(l.HeadMemory, settings.DefaultHeadMemory), 2*inbound.LargestCost(headBytes))),
+	}
+	return inbound.NewGuard(listener, limits, p.metrics)
+}
+
 func (p *Process) peerHandler() http.Handler {
 	server := peer.NewServer(peer.Handlers{
 		Exchange: p.exchangeHeartbeat,
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -28,10 +28,10 @@
 	s := servers{
 		callers:   newServer(p.callerHandler, p.settings.Callers),
 		peers:     newServer(p.closeWhenStopping(p.peerHandler()), internalLimits),
-		operators: newServer(p.operatorHandler(), internalLimits),
+		operators: newServer(p.operatorHandler(), operatorLimits),
 		listeners: []*accept.Listener{
-			accept.NewListener(listeners[0], p.metrics),
-			accept.NewListenerWithStopResponse(listeners[1], p.metrics, peer.StoppingResponse),
+			accept.NewListener(listeners[0], p.newGuard("callers", c), p.metrics),
+			accept.NewListenerWithStopResponse(listeners[1], p.newGuard("peers", internalLimits), p.metrics, peer.StoppingResponse),
 		},
 	}
 	if c.HeaderBytes == 0 {
@@ -41,7 +41,9 @@
 	accept.TrackConnStates(s.peers)
 	go p.serve(s.callers, s.listeners[0])
 	go p.serve(s.peers, s.listeners[1])
-	go p.serve(s.operators, listeners[2])
+	operators := p.newGuard("operators", operatorLimits)
+	operators.Protect(s.operators)
+	go p.serve(s.operators, operators.Listener(listeners[2]))
 	return s
 }
 
@@ -49,7 +51,9 @@
 // this VM stops.
 func (p *Process) closeWhenStopping(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		accept.HeaderReceived(r.Context())
+		if !accept.HeaderReceived(r.Context()) {
+			return
+		}
 		if p.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -22,8 +22,8 @@
 	Conns int
 	// HeadBytes is the size of a head.
 	HeadBytes int
-	// Heads is the account of the heads, from their first byte until their request has
-	// been answered.
+	// Heads is the account of the heads: until they are complete, and of those that take
+	// over SmallHead until their request has been answered.
 	Heads *memory.Account
 }
 
@@ -70,13 +70,17 @@
 }
 
 // Accept implements net.Listener.
-func (l guardedListener) Accept() (net.Conn, error) {
+func (l guardedListener) Accept() (net.Conn, error) { return l.guard.Accept(l.Listener) }
+
+// Accept returns the next connection of a listener that there is room for, and closes
+// others.
+func (g *Guard) Accept(l net.Listener) (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if n := l.guard.admit(c); n != nil {
+		if n := g.admit(c); n != nil {
 			return n, nil
 		}
 		_ = c.Close()
@@ -266,7 +270,9 @@
 	switch state {
 	case http.StateActive:
 		c.head.End()
-		BeginRequest(c)
+		if BeginRequest(c) {
+			c.releaseSmallHead()
+		}
 	case http.StateIdle:
 		c.finishRequest()
 	}
@@ -285,6 +291,16 @@
 	return c.busy
 }
 
+// releaseSmallHead releases the memory of a complete head that takes little.
+func (c *Conn) releaseSmallHead() {
+	c.mu.Lock()
+	small := c.headBytes <= SmallHead
+	c.mu.Unlock()
+	if small {
+		c.held.Reset()
+	}
+}
+
 // finishRequest is called when a request has been answered.
 func (c *Conn) finishRequest() {
 	c.head.Begin()
--- a/internal/inbound/head.go
+++ b/internal/inbound/head.go
@@ -119,6 +119,14 @@
 	return nil
 }
 
+// LargestCost returns the memory in bytes that a head of the given size takes if all its
+// lines are as short as possible.
+func LargestCost(size int) int64 {
+	const shortestLine = 3 // a name of one letter, a colon and a line feed
+	size += HeadSlack
+	return int64(size)*byteCost + int64(size/shortestLine)*lineCost
+}
+
 // HeadCost returns the memory in bytes that a header takes.
 func HeadCost(r *http.Request) int64 {
 	size, lines := len(r.RequestURI)+len(r.Host), 0
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -33,14 +33,26 @@
 	StopSettle time.Duration
 }
 
-// Callers holds the limits of connections from callers. Zero means no limit.
+// Callers holds the limits of connections from callers. Zero means no limit for a
+// time, and the default otherwise.
 type Callers struct {
 	HeaderTimeout time.Duration
 	ReadTimeout   time.Duration
 	IdleTimeout   time.Duration
 	HeaderBytes   int
+	// Connections is the number of connections at a time.
+	Connections int
+	// HeadMemory is the memory in bytes for heads that aren't complete, and for large
+	// ones until their requests have been answered.
+	HeadMemory int64
 }
 
+// Defaults of the limits of connections.
+const (
+	DefaultConnections = 10_000
+	DefaultHeadMemory  = 16 << 20
+)
+
 // Peer is another VM with a configured address.
 type Peer struct {
 	VM            core.VM
@@ -69,6 +81,8 @@
 			ReadTimeout:   r.duration("callers", "read_timeout", 30*time.Second, 10*time.Millisecond, 10*time.Minute),
 			IdleTimeout:   r.duration("callers", "idle_timeout", time.Minute, time.Second, time.Hour),
 			HeaderBytes:   int(r.number("callers", "header_bytes", 64<<10, 4<<10, 1<<20)),
+			Connections:   int(r.number("callers", "connections", DefaultConnections, 16, 1_000_000)),
+			HeadMemory:    int64(r.number("callers", "head_memory", DefaultHeadMemory, 1<<20, 16<<30)),
 		},
 		Platform:      r.baseURL("platform", "address"),
 		TraceExporter: r.choice("trace", "exporter", "none", "none", "stdout", "otlp"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,8 @@
 	is.Equal(e.StopTimeout, 20*time.Second)
 	is.Equal(e.Capacity, uint32(1))
 	is.Equal(e.Callers.HeaderBytes, 64<<10)
+	is.Equal(e.Callers.Connections, 10_000)
+	is.Equal(e.Callers.HeadMemory, int64(16<<20))
 	is.Equal(e.Peers, []Peer{{VM: "ba-2", FailureDomain: "ba-dubravka", Address: "127.0.0.1:7002"}})
 }
 
