ingress: heads of very many lines leave room for ordinary requests

What callers saw: while requests of legal size with heads of very many lines are in progress, an ordinary caller's connection was closed, or its request got 503, for lack of memory.

Cause: a complete head is held of the memory account until its request has been answered, up to the last byte. Bodies left 1/32 of the account free for others, heads of a hundred kilobytes and more didn't.

Change: heads that take over 32 KiB use the part that bodies may use. An ordinary head of ten lines takes 4 KB.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -295,8 +295,11 @@
 // holdHead holds memory for a part of a head. It reports false if there is none although
 // larger heads have given way.
 func (c *conn) holdHead(cost int64) bool {
-	c.beginTimeout(cost)
-	for !c.held.Add(cost) {
+	add := c.held.Add
+	if c.beginTimeout(cost) > inbound.SmallHead {
+		add = c.held.AddBody
+	}
+	for !add(cost) {
 		if !c.makeRoom(c) {
 			return false
 		}
@@ -327,12 +330,13 @@
 	return nil
 }
 
-// beginTimeout starts the time for a head with its first byte.
-func (c *conn) beginTimeout(cost int64) {
+// beginTimeout starts the time for a head with its first byte. It returns the memory that
+// the head takes so far.
+func (c *conn) beginTimeout(cost int64) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy {
-		return // the byte that detects the end of the connection
+		return 0 // the byte that detects the end of the connection
 	}
 	c.headBytes += cost
 	c.headComplete = c.head.Complete()
@@ -344,6 +348,7 @@
 	if !c.headComplete {
 		c.room.Changed()
 	}
+	return c.headBytes
 }
 
 // beginHead is called when a request has been answered, before the next head is read.
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -424,3 +425,42 @@
 	_ = kept.Close()
 	f.waitUntilReleased(t)
 }
+
+// Guards against requests in progress whose heads have very many lines, and which
+// together leave no memory for an ordinary request.
+func TestLargeHeadsLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	const requests = 20
+	large := strings.Replace(headOf(400), "/safe/", "/long/", 1)
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(large)))
+	is.NoErr(err)
+	largeCost := inbound.HeadCost(r)
+	wait := make(chan struct{})
+	f := newFixtureWith(t, func(_ context.Context, _ int, r *upstream.Request) (*upstream.Response, error) {
+		if len(r.Header["A"]) > 10 {
+			<-wait
+		}
+		return success(r), nil
+	}, func(s *Server) {
+		// What remains is less than a connection takes.
+		s.Memory = memory.NewAccount(requests*(connBytes+largeCost) + connBytes/2)
+	})
+	rejected := make(chan []int)
+	for n, full := 1, false; !full; n++ {
+		go func() {
+			if got := exchangeRaw(t, f, 1, large); !slices.Equal(got, []int{200}) {
+				rejected <- got
+			}
+		}()
+		for !full && f.exchanger.count() < n {
+			select {
+			case <-rejected:
+				full = true
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	is.Equal(exchangeRaw(t, f, 1, headOf(2)), []int{200})
+	close(wait)
+	f.waitUntilReleased(t)
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -187,16 +187,20 @@
 	case inProgress > r.limits.requests:
 		r.w.Header().Set("Connection", "close")
 		return &rejection{status: http.StatusServiceUnavailable, reason: "too-many-requests", retryAfter: overloadRetryAfter, unread: true}
-	case !r.hold(inbound.HeadCost(r.httpRequest)):
+	case !r.holdHead(inbound.HeadCost(r.httpRequest)):
 		r.w.Header().Set("Connection", "close")
 		return memoryRejection()
 	}
 	return nil
 }
 
-// hold holds memory for the request. Incomplete heads give way to it.
-func (r *request) hold(n int64) bool {
-	for !r.held.Add(n) {
+// holdHead holds memory for the head of the request. Incomplete heads give way to it.
+func (r *request) holdHead(n int64) bool {
+	add := r.held.Add
+	if n > inbound.SmallHead {
+		add = r.held.AddBody
+	}
+	for !add(n) {
 		if !r.makeRoom(inbound.Memory) {
 			return false
 		}
@@ -204,7 +208,7 @@
 	return true
 }
 
-// holdBody is hold for a body of known length. Heads don't give way to a large one.
+// holdBody is holdHead for a body of known length. Heads don't give way to a large one.
 func (r *request) holdBody(n int64) bool {
 	const largeBody = 256 << 10
 	for !r.held.AddBody(n) {
