--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -296,7 +296,7 @@
 // larger heads have given way.
 func (c *conn) holdHead(cost int64) bool {
 	add := c.held.Add
-	if c.beginTimeout(cost) > inbound.SmallHead {
+	if c.recordHead(cost) > inbound.SmallHead {
 		add = c.held.AddBody
 	}
 	for !add(cost) {
@@ -330,9 +330,9 @@
 	return nil
 }
 
-// beginTimeout starts the time for a head with its first byte. It returns the memory that
-// the head takes so far.
-func (c *conn) beginTimeout(cost int64) int64 {
+// recordHead records a part of a head that takes memory, and starts the time for the head
+// with the first part. It returns the memory that the head takes so far.
+func (c *conn) recordHead(cost int64) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy {
@@ -340,14 +340,15 @@
 	}
 	c.headBytes += cost
 	c.headComplete = c.head.Complete()
+	if c.headComplete {
+		return c.headBytes
+	}
 	if c.headSince.IsZero() {
 		c.headSince = time.Now()
 		c.headDeadline = c.headSince.Add(c.headTimeout())
 		c.readDeadline.set(c.headDeadline)
 	}
-	if !c.headComplete {
-		c.room.Changed()
-	}
+	c.room.Changed()
 	return c.headBytes
 }
 
