--- a/soak/hostile_entry_test.go
+++ b/soak/hostile_entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -117,6 +116,10 @@
 // Guards against clients that take the memory of an entry VM, or keep others out, with
 // heads of short lines that don't end.
 func TestUnfinishedHeadsAtEntryVM(t *testing.T) {
+	var heads [][]byte
+	for _, line := range []string{"a:\r\n", "%x:\r\n"} {
+		heads = append(heads, append(headOfLines("GET", "unfinished", line, entryHeadBytes, entryHeadBytes).Bytes(), "b: "...))
+	}
 	for name, address := range map[string]func(*entryVM) string{
 		"callers":   func(v *entryVM) string { return v.callers },
 		"peers":     func(v *entryVM) string { return v.peers },
@@ -127,8 +130,7 @@
 			v := startEntryVM(t)
 			stop := watchPeaks(v.cmd.Process.Pid, v.callers)
 			w := startCrowd(address(v), entryClients, func(ctx context.Context, i int, c net.Conn, begun func()) {
-				line := []string{"a:\r\n", "%x:\r\n"}[i%2]
-				trickle(ctx, c, append(headOfLines("GET", fmt.Sprint(i), line, entryHeadBytes, entryHeadBytes).Bytes(), "b: "...), begun)
+				trickle(ctx, c, heads[i%len(heads)], begun)
 			})
 			time.Sleep(crowdSettleTime)
 			answered, ready := false, false
--- a/soak/hostile_listeners_test.go
+++ b/soak/hostile_listeners_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,11 +54,19 @@
 	}
 }
 
-// endlessHead sends a head of short lines that doesn't end, and holds the connection.
-func endlessHead(_ context.Context, i int, c net.Conn, begun func()) {
+// endlessHeads are heads of short lines without an end.
+var endlessHeads = sync.OnceValue(func() (heads [][]byte) {
 	const maxLines = endlessBytes / 4
-	line := []string{"a:\r\n", "%x:\r\n"}[i%2]
-	if _, err := c.Write(headOfLines("GET", "endless", line, maxLines, endlessBytes).Bytes()); err == nil {
+	for _, line := range []string{"a:\r\n", "%x:\r\n"} {
+		heads = append(heads, headOfLines("GET", "endless", line, maxLines, endlessBytes).Bytes())
+	}
+	return heads
+})
+
+// endlessHead sends a head that doesn't end, and holds the connection.
+func endlessHead(_ context.Context, i int, c net.Conn, begun func()) {
+	heads := endlessHeads()
+	if _, err := c.Write(heads[i%len(heads)]); err == nil {
 		begun()
 		discardUntilClosed(c)
 	}
