inbound: a connection that gave way holds its memory until it has ended

What was seen: beside other load and with clients that connect again at once, TestUnfinishedHeadsAtEntryVM failed once in two runs (callers: 178 MB of 144 MB), and the other cases reached 140 MB.

Cause: a guard released the memory of a connection, and its place, as soon as it gave way. Its goroutine keeps what it has read until it gets the processor, so that with hundreds of such goroutines waiting much more was held than the account says. Also, a connection whose head was rejected kept its place for the half a second for which net/http waits after status 431.

Change: a connection that gives way stays in the set, with its memory, until the HTTP server has ended it. Whoever needs the room waits for that, for 300 ms at most, and nothing else gives way meanwhile. A rejected head gives way at once, and the guard's limit on its size comes before that of net/http, so that the connection is closed with status 400 without the wait. Unread bytes may then reset it before the client reads the status.

--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -35,8 +35,11 @@
 	metrics *observe.Metrics
 	room    *Room
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu sync.Mutex
+	// conns are the connections that haven't ended, and leaving is the last one that has
+	// given way.
+	conns   map[*Conn]struct{}
+	leaving *Conn
 }
 
 // NewGuard returns a guard that counts rejected and evicted connections under the name.
@@ -47,7 +50,9 @@
 // Protect makes a server that accepts from Listener report the states of its
 // connections.
 func (g *Guard) Protect(s *http.Server) {
-	s.MaxHeaderBytes = g.limits.HeadBytes
+	// The guard's limit comes first: after its own, net/http keeps the connection open for
+	// half a second.
+	s.MaxHeaderBytes = g.limits.HeadBytes + 3*HeadSlack
 	s.ConnState = SetState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	handler := s.Handler
@@ -103,27 +108,46 @@
 func (g *Guard) tryAdmit(c net.Conn) (n *Conn, mayWait bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.conns) >= g.limits.Conns && !g.evict(Connection, nil) {
+	if len(g.conns) >= g.limits.Conns {
+		if g.isLeaving() || g.evict(Connection, nil) {
+			return nil, true
+		}
 		for c := range g.conns {
 			mayWait = mayWait || c.view().Phase == Fresh
 		}
 		return nil, mayWait
 	}
-	n = &Conn{Conn: c, guard: g, held: g.limits.Heads.NewCharge(), since: time.Now()}
+	n = &Conn{Conn: c, guard: g, held: g.limits.Heads.NewCharge(), gone: make(chan struct{}), since: time.Now()}
 	n.head.Begin()
 	g.conns[n] = struct{}{}
 	return n, false
 }
 
-// makeRoom closes a connection with a larger head than that of c. It reports false if
-// there is none, or if c has been closed.
+// makeRoom waits until a connection with a larger head than that of c has ended. It
+// reports false if there is none, or if c itself has given way.
 func (g *Guard) makeRoom(c *Conn) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, open := g.conns[c]; !open {
+	if c.isClosing() || !g.isLeaving() && !g.evict(Memory, c) {
+		g.mu.Unlock()
 		return false
 	}
-	return g.evict(Memory, c)
+	leaving := g.leaving
+	g.mu.Unlock()
+	timeout := time.NewTimer(MinIdleTime)
+	defer timeout.Stop()
+	select {
+	case <-leaving.gone:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
+// isLeaving reports whether a connection that has given way hasn't ended. Until then its
+// goroutine keeps what it has read. It must be called with the lock held.
+func (g *Guard) isLeaving() bool {
+	_, leaving := g.conns[g.leaving]
+	return leaving
 }
 
 // evict closes the connection that gives way unless it is keep, and reports whether it
@@ -139,8 +163,7 @@
 	if !ok || c == keep || !c.giveWay() {
 		return false
 	}
-	delete(g.conns, c)
-	c.held.Release()
+	g.leaving = c
 	g.metrics.Count("connections_evicted", g.name)
 	return true
 }
@@ -159,11 +182,15 @@
 	held  *memory.Charge
 	// head is used by the goroutine that reads.
 	head Head
+	// gone is closed when the connection has ended.
+	gone     chan struct{}
+	goneOnce sync.Once
 
 	mu sync.Mutex
-	// busy is set from the end of a head until its request has been answered, served once one has been answered, and
+	// busy is set while a request is in progress, complete from the end of a head until its
+	// request begins, failed once a head was rejected, served once one has been answered, and
 	// closing once the connection has given way.
-	busy, served, closing bool
+	busy, complete, failed, served, closing bool
 	// since is when the head began, or when the connection was last used.
 	since     time.Time
 	headBytes int64
@@ -176,12 +203,12 @@
 	}
 	for {
 		if err := c.head.Check(); err != nil {
-			return 0, err
+			return 0, c.fail(err)
 		}
 		n, err := c.Conn.Read(b)
 		rest := c.head.SkipEmptyLines(b[:n])
 		if err := c.head.CheckEmptyLines(); err != nil {
-			return 0, err
+			return 0, c.fail(err)
 		}
 		if n > 0 && len(rest) == 0 && err == nil {
 			continue // only empty lines
@@ -189,12 +216,21 @@
 		n = copy(b, rest)
 		c.head.Limit(func() int64 { return int64(c.guard.limits.HeadBytes) + HeadSlack })
 		if cost := c.head.Read(b[:n]); cost > 0 && !c.hold(cost) {
-			return 0, errMemoryFull
+			return 0, c.fail(errMemoryFull)
 		}
 		return n, err
 	}
 }
 
+// fail records that a head was rejected. Its connection may give way at once.
+func (c *Conn) fail(err error) error {
+	c.mu.Lock()
+	c.failed = true
+	c.mu.Unlock()
+	c.guard.room.Changed()
+	return err
+}
+
 // hold holds memory for a part of a head. It reports false if there is none although
 // larger heads have given way.
 func (c *Conn) hold(cost int64) bool {
@@ -203,7 +239,7 @@
 		c.since = time.Now()
 	}
 	c.headBytes += cost
-	c.busy = c.busy || !c.closing && c.head.Complete()
+	c.complete = c.head.Complete()
 	add := c.held.Add
 	if c.headBytes > SmallHead {
 		add = c.held.AddBody
@@ -222,9 +258,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.busy:
+	case c.busy || c.complete || c.closing:
 		return View{Phase: Busy}
-	case c.headBytes > 0:
+	case c.failed || c.headBytes > 0:
 		return View{Phase: Reading, Since: c.since, HeadBytes: c.headBytes}
 	case c.served:
 		return View{Phase: Kept, Since: c.since}
@@ -232,11 +268,18 @@
 	return View{Phase: Fresh, Since: c.since}
 }
 
-// giveWay closes the connection unless a request has begun.
+func (c *Conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// giveWay closes the connection unless a head is complete. What it holds is released once
+// the HTTP server has ended it too.
 func (c *Conn) giveWay() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy {
+	if c.busy || c.complete || c.closing {
 		return false
 	}
 	c.closing = true
@@ -246,9 +289,13 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.guard.remove(c)
-	c.held.Release()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.goneOnce.Do(func() {
+		c.held.Release()
+		c.guard.remove(c)
+		close(c.gone)
+	})
+	return err
 }
 
 // CloseWrite lets net/http half-close the connection, so that a reset doesn't discard
@@ -269,10 +316,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.head.End()
-		if BeginRequest(c) {
-			c.releaseSmallHead()
-		}
+		c.endHead()
 	case http.StateIdle:
 		c.finishRequest()
 	}
@@ -287,14 +331,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = !c.closing
+	c.busy, c.complete = !c.closing, false
 	return c.busy
 }
 
-// releaseSmallHead releases the memory of a complete head that takes little.
-func (c *Conn) releaseSmallHead() {
+// endHead is called when a head was read, or reading it has failed. Only one that takes
+// much memory is held until its request has been answered.
+func (c *Conn) endHead() {
+	c.head.End()
 	c.mu.Lock()
 	small := c.headBytes <= SmallHead
+	c.headBytes, c.since, c.complete = 0, time.Now(), false
 	c.mu.Unlock()
 	if small {
 		c.held.Reset()
@@ -307,5 +354,5 @@
 	c.held.Reset()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.served, c.headBytes, c.since = false, true, 0, time.Now()
+	c.busy, c.complete, c.served, c.headBytes, c.since = false, false, true, 0, time.Now()
 }
