ingress: a caller's connection that gave way holds its memory until its end

TestUnfinishedHeadsLeaveRoom came within a tenth of its bound (91 MB of 100 MB), and a connection whose head was rejected with status 431 kept its place for half a second, so that heads over the limit kept ordinary callers out.

Whoever needs the place or the memory of a connection waits until the HTTP server has ended it; nothing else gives way meanwhile. A rejected head gives way at once. A new connection waits 600 ms at most: until an idle one may give way, and for its end.

--- a/internal/inbound/room.go
+++ b/internal/inbound/room.go
@@ -16,24 +16,24 @@
 	}
 }
 
-// Await calls try until it reports that there is room, and reports whether there was.
-// It gives up if try reports that it isn't worth waiting, which is so unless the first
-// request of a connection hasn't begun, and after MinIdleTime. Without the wait, of many
-// clients that connect at once all but the first few are rejected, because nothing has
-// been read yet of the connections that would give way.
+// Await calls try until it reports that there is room, and reports whether there was. It
+// gives up if try reports that it isn't worth waiting, and after twice MinIdleTime: the
+// time until an idle connection gives way, and as long for its end.
+//
+// Without the wait, of many clients that connect at once all but the first few are
+// rejected, because nothing has been read yet of the connections that would give way.
 func (r *Room) Await(try func() (room, mayWait bool)) bool {
-	timeout := time.NewTimer(MinIdleTime)
-	defer timeout.Stop()
-	for {
+	retry := time.NewTicker(MinIdleTime)
+	defer retry.Stop()
+	for retries := 0; ; {
 		room, mayWait := try()
-		if room || !mayWait {
+		if room || !mayWait || retries == 2 {
 			return room
 		}
 		select {
 		case <-r.changed:
-		case <-timeout.C:
-			room, _ = try()
-			return room
+		case <-retry.C:
+			retries++
 		}
 	}
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -54,8 +54,8 @@
 	head  inbound.Head
 	// room is told when the connection may give way.
 	room *inbound.Room
-	// makeRoom closes another connection so that there is memory for the head of this
-	// one, and reports whether it did.
+	// makeRoom ends another connection so that there is memory for the head of this one,
+	// and reports whether it did.
 	makeRoom func(*conn) bool
 	// headTimeout and maxHeadBytes return how long a head may take from its first byte,
 	// and how large it may be.
@@ -76,8 +76,9 @@
 	// and the memory that the head holds; headDeadline is when it must be complete.
 	headSince, headDeadline time.Time
 	headBytes               int64
-	// headComplete is set once the whole head has been read, before its request begins.
-	headComplete bool
+	// headComplete is set once the whole head has been read, before its request begins,
+	// and failed once a head was rejected.
+	headComplete, failed bool
 }
 
 // newConn returns a connection that holds memory of the charge, which it releases
@@ -128,7 +129,7 @@
 	switch {
 	case c.closing || c.busy || c.headComplete || c.pipeline.pending():
 		return inbound.View{Phase: inbound.Busy}
-	case !c.headSince.IsZero():
+	case !c.headSince.IsZero() || c.failed:
 		return inbound.View{Phase: inbound.Reading, Since: c.headSince, HeadBytes: c.headBytes}
 	case len(c.chunks) > 0: // will be read at once
 		return inbound.View{Phase: inbound.Busy}
@@ -139,7 +140,8 @@
 }
 
 // evict closes the connection unless it has been used since it was in the given phase,
-// and reports whether it did.
+// and reports whether it did. What it holds is released once the HTTP server has ended it
+// too: until then its goroutine keeps what it has read.
 func (c *conn) evict(seen inbound.View) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -148,7 +150,7 @@
 		return false
 	}
 	c.closing = true
-	_ = c.Close()
+	_ = c.Conn.Close()
 	return true
 }
 
@@ -156,7 +158,7 @@
 func (c *conn) isFresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closing && !c.busy && !c.served && !c.headComplete
+	return !c.closing && !c.busy && !c.failed && !c.served && !c.headComplete
 }
 
 // isClosed reports whether the connection has been closed or is being closed.
@@ -264,10 +266,13 @@
 	// in progress.
 	if len(b) > 1 {
 		if err := c.head.Check(); err != nil {
-			return 0, err
+			return 0, c.fail(err)
 		}
 	}
 	for {
+		if c.isClosed() {
+			return 0, net.ErrClosed
+		}
 		if len(c.unread) == 0 {
 			reuseChunk(c.current)
 			c.current = nil
@@ -277,7 +282,7 @@
 		}
 		c.unread = c.head.SkipEmptyLines(c.unread)
 		if err := c.head.CheckEmptyLines(); err != nil {
-			return 0, err
+			return 0, c.fail(err)
 		}
 		if len(c.unread) > 0 {
 			break
@@ -287,11 +292,21 @@
 	c.unread = c.unread[n:]
 	c.head.Limit(c.maxHeadBytes)
 	if cost := c.head.Read(b[:n]); cost > 0 && !c.holdHead(cost) {
-		return 0, errMemoryFull
+		return 0, c.fail(errMemoryFull)
 	}
 	return n, nil
 }
 
+// fail records that a head was rejected. The connection may give way at once: net/http
+// would keep it open for half a second after its response.
+func (c *conn) fail(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
+	c.room.Changed()
+	return err
+}
+
 // holdHead holds memory for a part of a head. It reports false if there is none although
 // larger heads have given way.
 func (c *conn) holdHead(cost int64) bool {
@@ -362,12 +377,19 @@
 	c.room.Changed()
 }
 
-// endHead is called when the head of a request was read. What the request holds from
-// now on is accounted for by its handler.
+// endHead is called when the head of a request was read, or reading it has failed. What
+// the request holds from now on is accounted for by its handler.
 func (c *conn) endHead() {
 	for _, cost := range c.head.End() {
 		c.held.Sub(cost)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headDeadline.IsZero() {
+		c.readDeadline.set(time.Time{})
+	}
+	c.headSince, c.headDeadline, c.headBytes, c.headComplete = time.Time{}, time.Time{}, 0, false
+	c.lastUsed = time.Now()
 }
 
 // beginRequest is called before a request is handled. It reports false if the connection
@@ -375,10 +397,6 @@
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.headDeadline.IsZero() {
-		c.readDeadline.set(time.Time{})
-	}
-	c.headSince, c.headDeadline, c.headBytes, c.headComplete = time.Time{}, time.Time{}, 0, false
 	c.busy = !c.closing
 	return c.busy
 }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -55,7 +55,8 @@
 	metrics *observe.Metrics
 	limits  limits
 	open    *atomic.Int64
-	// makeRoom closes the connection that gives way and reports whether there was one.
+	// makeRoom closes the connection that gives way and reports whether there will be
+	// room.
 	makeRoom func(inbound.Need) bool
 	// mayGiveWaySoon reports whether a connection may soon give way.
 	mayGiveWaySoon func() bool
@@ -71,10 +72,7 @@
 		}
 		held := l.memory.NewCharge()
 		open := l.open.Add(1)
-		if !l.room.Await(func() (room, mayWait bool) {
-			room = l.admit(held)
-			return room, !room && l.mayGiveWaySoon()
-		}) {
+		if !l.room.Await(func() (room, mayWait bool) { return l.admit(held) }) {
 			l.open.Add(-1)
 			held.Release()
 			l.metrics.Count("connections_rejected")
@@ -91,17 +89,16 @@
 	}
 }
 
-// admit holds the memory of a new connection. It reports false if there is no room.
-func (l listener) admit(held *memory.Charge) bool {
-	for l.open.Load() > l.limits.conns {
-		if !l.makeRoom(inbound.Connection) {
-			return false
-		}
-	}
-	for !held.Add(connBytes) {
-		if !l.makeRoom(inbound.Memory) && !l.makeRoom(inbound.Connection) {
-			return false
-		}
+// admit holds the memory of a new connection. If there is no room, it reports whether
+// there may soon be.
+func (l listener) admit(held *memory.Charge) (room, mayWait bool) {
+	switch {
+	case l.open.Load() > l.limits.conns:
+		mayWait = l.makeRoom(inbound.Connection)
+	case !held.Add(connBytes):
+		mayWait = l.makeRoom(inbound.Memory) || l.makeRoom(inbound.Connection)
+	default:
+		return true, false
 	}
-	return true
+	return false, mayWait || l.mayGiveWaySoon()
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -201,7 +201,7 @@
 		add = r.held.AddBody
 	}
 	for !add(n) {
-		if !r.makeRoom(inbound.Memory) {
+		if !r.awaitMemory() {
 			return false
 		}
 	}
@@ -212,7 +212,7 @@
 func (r *request) holdBody(n int64) bool {
 	const largeBody = 256 << 10
 	for !r.held.AddBody(n) {
-		if n > largeBody || !r.makeRoom(inbound.Memory) {
+		if n > largeBody || !r.awaitMemory() {
 			return false
 		}
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -125,6 +125,8 @@
 	responseMargin, responseTimeout time.Duration
 	mu                              sync.Mutex
 	conns                           map[*conn]struct{}
+	// leaving is the last connection that has given way.
+	leaving *conn
 }
 
 // NewServer returns a server that doesn't listen yet.
@@ -168,18 +170,18 @@
 		delete(s.conns, n)
 	case http.StateActive:
 		n.endHead()
-		n.beginRequest()
 		_ = n.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	case http.StateIdle:
 		n.beginHead()
 	}
 }
 
-// makeRoom closes the connection that gives way, and reports whether there was one.
+// makeRoom closes the connection that gives way, unless one that has given way hasn't
+// ended yet. It reports whether there will be more room soon.
 func (s *Server) makeRoom(need inbound.Need) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evict(need, nil)
+	return s.isLeaving() || s.evict(need, nil)
 }
 
 // mayGiveWaySoon reports whether there is a connection whose first request hasn't begun.
@@ -194,12 +196,42 @@
 	return false
 }
 
-// makeRoomForHead is makeRoom for the incomplete head of a connection. It reports false
-// if that connection itself has to give way, or has.
+// awaitMemory waits until a connection with an incomplete head has ended. It reports
+// false if none gives way.
+func (s *Server) awaitMemory() bool { return s.makeRoomForHead(nil) }
+
+// makeRoomForHead is awaitMemory for the incomplete head of a connection. It reports
+// false also if that connection itself has to give way, or has.
 func (s *Server) makeRoomForHead(c *conn) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !c.isClosed() && s.evict(inbound.Memory, c)
+	if c != nil && c.isClosed() || !s.isLeaving() && !s.evict(inbound.Memory, c) {
+		s.mu.Unlock()
+		return false
+	}
+	leaving := s.leaving
+	s.mu.Unlock()
+	timeout := time.NewTimer(inbound.MinIdleTime)
+	defer timeout.Stop()
+	select {
+	case <-leaving.done:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
+// isLeaving reports whether a connection that has given way hasn't ended. It must be
+// called with the lock held.
+func (s *Server) isLeaving() bool {
+	if s.leaving == nil {
+		return false
+	}
+	select {
+	case <-s.leaving.done:
+		return false
+	default:
+		return true
+	}
 }
 
 // evict closes the connection that gives way unless it is keep. It must be called with
@@ -219,6 +251,7 @@
 			return false
 		}
 		if c.evict(seen) {
+			s.leaving = c
 			s.Metrics.Count("connections_evicted")
 			return true
 		}
--- a/soak/hostile_heads_test.go
+++ b/soak/hostile_heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -15,8 +16,8 @@
 	"celeryhook.example/celeryhook/standin/wire"
 )
 
-// Guards against clients that keep ordinary callers out with heads that don't end: they
-// take all connections, or all memory.
+// Guards against clients that keep ordinary callers out with heads that don't end or are
+// too large: they take all connections, or all memory.
 func TestUnfinishedHeadsLeaveRoom(t *testing.T) {
 	short := append(requestHead("GET", "short").Bytes(), "b: "...)
 	for name, c := range map[string]struct {
@@ -24,6 +25,7 @@
 		heads                     [][]byte
 	}{
 		"connections": {144, 300, 200, [][]byte{short}},
+		"too large":   {144, 300, 300, [][]byte{append(bytes.Clone(short), bytes.Repeat([]byte("x"), endlessBytes)...)}},
 		"memory": {100, 2000, 450, [][]byte{
 			append(headOfLines("GET", "long", "a:\r\n", 950, 1<<20).Bytes(), "b: "+strings.Repeat("x", 56<<10)...),
 			append(headOfLines("GET", "legal", "a:\r\n", 950, 1<<20).Bytes(), "b: "+strings.Repeat("x", 12<<10)...),
