--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -5,17 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/memory"
 	"celeryhook.example/celeryhook/internal/observe"
 )
 
-// errMemoryFull is returned by a read of a head for which there is no memory. The
-// HTTP server closes the connection without a response.
-var errMemoryFull = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ENOMEM}
-
 // Limits bound what the clients of a server may hold.
 type Limits struct {
 	// Conns is the number of connections.
@@ -133,14 +128,7 @@
 	}
 	leaving := g.leaving
 	g.mu.Unlock()
-	timeout := time.NewTimer(MinIdleTime)
-	defer timeout.Stop()
-	select {
-	case <-leaving.gone:
-		return true
-	case <-timeout.C:
-		return false
-	}
+	return AwaitEnd(leaving.gone)
 }
 
 // isLeaving reports whether a connection that has given way hasn't ended. Until then its
@@ -216,7 +204,7 @@
 		n = copy(b, rest)
 		c.head.Limit(func() int64 { return int64(c.guard.limits.HeadBytes) + HeadSlack })
 		if cost := c.head.Read(b[:n]); cost > 0 && !c.hold(cost) {
-			return 0, c.fail(errMemoryFull)
+			return 0, c.fail(ErrMemory)
 		}
 		return n, err
 	}
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -148,7 +148,8 @@
 
 // Guards against a guard that changes requests within the limits, or accepts others.
 func TestGuardedRequests(t *testing.T) {
-	post := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("\n", 50000)
+	postHead := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n"
+	post, text := postHead+strings.Repeat("\n", 50000), postHead+strings.Repeat("x", 50000)
 	get := getHead + "\r\n"
 	for name, c := range map[string]struct {
 		text string
@@ -158,6 +159,7 @@
 		rejected bool
 	}{
 		"pipelined":          {get + get + get, []int{200, 200, 200}, false},
+		"body behind a head": {get + text + get, []int{200, 200, 200}, false},
 		"bodies":             {post + get + post + post, []int{200, 200, 200, 200}, false},
 		"empty lines":        {strings.Repeat("\r\n", MaxEmptyLines) + get, []int{200}, false},
 		"many empty lines":   {strings.Repeat("\r\n", MaxEmptyLines+1) + get, nil, true},
--- a/internal/inbound/head.go
+++ b/internal/inbound/head.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"net"
 	"net/http"
+	"syscall"
 )
 
 const (
@@ -26,6 +28,10 @@
 // responds to it with status 400.
 var ErrHead = errors.New("inbound: head out of bounds")
 
+// ErrMemory is returned by a read of a head for which there is no memory. The HTTP
+// server closes the connection without a response.
+var ErrMemory error = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ENOMEM}
+
 // Head observes the bytes of heads as the HTTP server reads them. Heads are
 // delimited by the calls of Begin and End, since the server may have read the start of
 // a head with the request before it.
--- a/internal/inbound/room.go
+++ b/internal/inbound/room.go
@@ -37,3 +37,16 @@
 		}
 	}
 }
+
+// AwaitEnd waits until a connection that has given way has ended, which the channel
+// tells, for MinIdleTime at most. It reports whether it has.
+func AwaitEnd(ended <-chan struct{}) bool {
+	timeout := time.NewTimer(MinIdleTime)
+	defer timeout.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,7 +7,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"celeryhook.example/celeryhook/internal/inbound"
@@ -292,7 +291,7 @@
 	c.unread = c.unread[n:]
 	c.head.Limit(c.maxHeadBytes)
 	if cost := c.head.Read(b[:n]); cost > 0 && !c.holdHead(cost) {
-		return 0, c.fail(errMemoryFull)
+		return 0, c.fail(inbound.ErrMemory)
 	}
 	return n, nil
 }
@@ -440,10 +439,6 @@
 	return nil
 }
 
-// errMemoryFull is returned by a read of a head for which there is no memory. The
-// HTTP server closes the connection without a response.
-var errMemoryFull = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ENOMEM}
-
 type connKey struct{}
 
 // connContext starts reading ahead and returns a context that is cancelled when
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -79,7 +79,8 @@
 	const limit = inbound.DefaultHeadBytes
 	long := headOfBytes(limit, "a:\r\n")
 	over := headOfBytes(limit+inbound.HeadSlack+2*readChunkSize, "a:\r\n")
-	body := "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("\n", 40000)
+	post := "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 200000\r\n\r\n"
+	body, text := post+strings.Repeat("\n", 200_000), post+strings.Repeat("x", 200_000)
 	for name, c := range map[string]struct {
 		pieces   []string
 		statuses []int
@@ -93,6 +94,7 @@
 		"pipelined":           {[]string{long + long + long}, []int{200, 200, 200}},
 		"pipelined, too much": {[]string{long + headOfBytes(limit+inbound.HeadSlack+4*readChunkSize, "a:\r\n") + long}, []int{200, 400}},
 		"lines of a body":     {[]string{body + body + long}, []int{200, 200, 200}},
+		"body behind a head":  {[]string{headOf(2) + text + long}, []int{200, 200, 200}},
 		"end of the head in another piece": {
 			[]string{headOf(10) + strings.TrimSuffix(long, "\r\n"), "\r\n" + long},
 			[]int{200, 200, 200},
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -229,9 +229,8 @@
 		s.handle(w, r)
 		return
 	}
-	// net/http doesn't report a request as active that it had read with the one before.
 	if !c.beginRequest() {
-		return
+		return // nobody would get the response
 	}
 	a := c.pipeline.begin(r)
 	defer c.pipeline.end()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -210,14 +210,7 @@
 	}
 	leaving := s.leaving
 	s.mu.Unlock()
-	timeout := time.NewTimer(inbound.MinIdleTime)
-	defer timeout.Stop()
-	select {
-	case <-leaving.done:
-		return true
-	case <-timeout.C:
-		return false
-	}
+	return inbound.AwaitEnd(leaving.done)
 }
 
 // isLeaving reports whether a connection that has given way hasn't ended. It must be
