inbound: no timer for a connection that there is room for

Cause: Room.Await created a ticker for each new connection, before it tried whether there is room. A timer that ends before all others wakes the runtime's poller.

Change: the ticker is created only for a connection that has to wait.

--- a/internal/inbound/room.go
+++ b/internal/inbound/room.go
@@ -23,19 +23,21 @@
 // Without the wait, of many clients that connect at once all but the first few are
 // rejected, because nothing has been read yet of the connections that would give way.
 func (r *Room) Await(try func() (room, mayWait bool)) bool {
+	room, mayWait := try()
+	if room || !mayWait {
+		return room // without a timer, which would wake the scheduler for each connection
+	}
 	retry := time.NewTicker(MinIdleTime)
 	defer retry.Stop()
-	for retries := 0; ; {
-		room, mayWait := try()
-		if room || !mayWait || retries == 2 {
-			return room
-		}
+	for retries := 0; mayWait && !room && retries < 2; {
 		select {
 		case <-r.changed:
 		case <-retry.C:
 			retries++
 		}
+		room, mayWait = try()
 	}
+	return room
 }
 
 // AwaitEnd waits until a connection that has given way has ended, which the channel
